Add the whole path, thin, in separate processes

Cause: nothing existed. A request must be served from end to end before any decision on its path can be measured.

Change: control hosts with a replicated log of their own, entry hosts that follow the configuration, limits by lent shares, routing, streaming with resumption, stand-ins for upstreams, trefoilctl, and a demonstration of three regions.

Ruled out: a lender of customers' rates that hosts agree on. Each host lends its own share to one lender at a time and waits out the lease before it moves, so the sum is right whoever hosts think the lender is, and a region that is cut off needs no quorum.

--- /dev/null
+++ b/internal/command/daemon.go
@@ -0,0 +1,207 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/trefoilloft/trefoilloft/internal/controller"
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
+	"github.com/trefoilloft/trefoilloft/internal/distributor"
+	"github.com/trefoilloft/trefoilloft/internal/persister"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/server"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+// Exit statuses of the programs.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+// Daemon runs trefoild and returns its exit status.
+func Daemon(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("trefoild", "The daemon: one process of a role.")
+	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
+	entry := app.Command("entry", "Serve callers.")
+	entryFile := entry.Flag("settings", "Settings file.").Required().String()
+	entryCheck := entry.Flag("check", "Check the settings and exit.").Bool()
+	control := app.Command("control", "Be a control host.")
+	controlFile := control.Flag("settings", "Settings file.").Required().String()
+	controlCheck := control.Flag("check", "Check the settings and exit.").Bool()
+	initialize := app.Command("init", "Set up a control host's data folder.")
+	initFile := initialize.Flag("settings", "Settings file.").Required().String()
+	initJoin := initialize.Flag("join", "Give it a new identity, to be added to a running system.").Bool()
+	demo := app.Command("demo-settings", "Write the settings of a three-region system on loopback.")
+	demoFolder := demo.Flag("folder", "Folder to write to.").Required().String()
+	demoPort := demo.Flag("port", "First port.").Default("18000").Int()
+	selected, err := app.Parse(args)
+	if err != nil {
+		return usage(stderr, app, err)
+	}
+	switch selected {
+	case entry.FullCommand():
+		err = daemonRole(*entryFile, roleEntry, *entryCheck, stdout, stderr)
+	case control.FullCommand():
+		err = daemonRole(*controlFile, roleControl, *controlCheck, stdout, stderr)
+	case initialize.FullCommand():
+		err = initControl(*initFile, *initJoin, stdout)
+	case demo.FullCommand():
+		err = WriteDemo(*demoFolder, *demoPort)
+	}
+	return report(stderr, app.Name, err)
+}
+
+// usage reports a bad command line. Kingpin has printed help already if that was asked for.
+func usage(stderr io.Writer, app *kingpin.Application, err error) int {
+	fmt.Fprintf(stderr, "%s: %v, try --help\n", app.Name, err)
+	return exitUsage
+}
+
+func report(stderr io.Writer, name string, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
+	return exitFailed
+}
+
+func daemonRole(file, role string, check bool, stdout, stderr io.Writer) error {
+	settings, err := ReadSettings(file, role)
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Fprintf(stdout, "%s: settings are valid for role %s\n", file, role)
+		return nil
+	}
+	log := newLog(settings, stderr)
+	if role == roleEntry {
+		return runEntry(settings, log)
+	}
+	return runControl(settings, log)
+}
+
+func newLog(s *schema.Settings, w io.Writer) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.Log)
+	if err != nil || s.Log == "" {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Str("host", s.Name).Logger()
+}
+
+func initControl(file string, join bool, stdout io.Writer) error {
+	s, err := ReadSettings(file, roleControl)
+	if err != nil {
+		return err
+	}
+	identity := &schema.Identity{Id: persister.NewID(), Name: s.Name}
+	if !join {
+		identity.Id = persister.InitialID(s.Name)
+		for _, c := range s.Controls {
+			identity.Members = append(identity.Members, &schema.Member{
+				Id: persister.InitialID(c.Name), Name: c.Name, Address: c.Address, Voter: true,
+			})
+		}
+	}
+	if err := persister.Init(controlFolder(s), identity); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "%s: identity %d\n", s.Name, identity.Id)
+	return nil
+}
+
+func controlFolder(s *schema.Settings) string { return filepath.Join(s.Data, "control") }
+
+// runEntry runs an entry host until SIGTERM or SIGINT.
+func runEntry(settings *schema.Settings, log zerolog.Logger) error {
+	clock := &timer.Service{}
+	dial := &dialer.Dialer{Secret: settings.Secret, Mutual: settings.Mutual, Timer: clock}
+	defer dial.Close()
+	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Log: log}
+	return runGroup(settings, clock, s.Run, s.Collectors)
+}
+
+// runControl runs a control host until SIGTERM or SIGINT.
+func runControl(settings *schema.Settings, log zerolog.Logger) error {
+	clock := &timer.Service{}
+	dial := &dialer.Dialer{Secret: settings.Secret, Mutual: settings.Mutual, Timer: clock}
+	defer dial.Close()
+	c := &controller.Controller{
+		Settings: settings, Timer: clock, Dialer: dial, Log: log,
+		Store:       &persister.Store{Folder: controlFolder(settings)},
+		Distributor: &distributor.Distributor{Timer: clock},
+	}
+	if err := c.Open(); err != nil {
+		return err
+	}
+	return runGroup(settings, clock, func(ctx context.Context) error { return serveControl(ctx, settings, c) }, c.Collectors)
+}
+
+func serveControl(ctx context.Context, settings *schema.Settings, c *controller.Controller) error {
+	l, err := net.Listen("tcp", settings.Internal)
+	if err != nil {
+		return fmt.Errorf("control: internal: %w", err)
+	}
+	processes, err := dialer.NewServer(settings.Secret, settings.Mutual, controller.FreeMethods)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	schema.RegisterControlServiceServer(processes, &controller.Service{Controller: c})
+	var g run.Group
+	g.Add(func() error { return processes.Serve(l) }, func(error) { processes.Stop() })
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return c.Run(ctx) }, func(error) { cancel() })
+	return g.Run()
+}
+
+// runGroup runs the timer, the metrics and the main part; the main part ends the group.
+func runGroup(settings *schema.Settings, clock *timer.Service, main func(context.Context) error, metrics func() []prometheus.Collector) error {
+	var g run.Group
+	background, stop := context.WithCancel(context.Background())
+	g.Add(func() error { return clock.Run(background) }, func(error) { stop() })
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	g.Add(func() error { return main(ctx) }, func(error) { cancel() })
+	if settings.Metrics != "" {
+		h := &http.Server{Addr: settings.Metrics, ReadHeaderTimeout: time.Second, Handler: metricsHandler(metrics)}
+		g.Add(func() error {
+			if err := h.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("metrics: %w", err)
+			}
+			return nil
+		}, func(error) { _ = h.Close() })
+	}
+	return g.Run()
+}
+
+// metricsHandler registers the collectors on the first request, when the parts exist.
+func metricsHandler(metrics func() []prometheus.Collector) http.Handler {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	inner := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, c := range metrics() {
+			_ = registry.Register(c) // a second registration is refused, which is what is wanted
+		}
+		inner.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"sigs.k8s.io/yaml"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	demoModel      = "parish-1"
+	demoRoute      = "bookings"
+	portsPerRegion = 20
+	demoEntryHosts = 2
+)
+
+// DemoRegions are the regions of the demonstration.
+var DemoRegions = []string{"lothian", "clyde", "grampian"}
+
+// demoSheet is the sheet of the demonstration.
+const demoSheet = `kind,name,region,rate,burst,weight,home,objective,replicas,price,method,prefix,repeat,open
+sheet,1,,,,,,,,,,,,
+customer,st-giles,,4000,20000,2,,0.52,,,,,,
+customer,glasgow-choirs,,4000,20000,1,clyde,0.52,,,,,,
+customer,aberdeen-halls,,2000,10000,1,,0.52,,,,,,
+model,parish-1,lothian,,,,,,1,1,,,,
+model,parish-1,clyde,,,,,,1,1,,,,
+model,parish-1,grampian,,,,,,1,1.2,,,,
+route,bookings,,,,,,,,,POST,/bookings,no,no
+route,services,,,,,,,,,GET,/services,yes,yes
+`
+
+// WriteDemo writes the settings, sheet and operator's token of a system of three regions
+// with two entry hosts, one control host, one engine and one booking service each.
+func WriteDemo(folder string, port int) error {
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return err
+	}
+	secret, token, announce := randomHex(), randomHex(), randomHex()
+	sum := sha256.Sum256([]byte(token))
+	operators := []*schema.Operator{{Name: "morag", Hash: hex.EncodeToString(sum[:])}}
+	var controls []*schema.Control
+	for i, region := range DemoRegions {
+		controls = append(controls, &schema.Control{Name: "control-" + region, Address: demoAddress(port, i, 4)})
+	}
+	for i, region := range DemoRegions {
+		base := schema.Settings{Region: region, Controls: controls, Operators: operators, Secret: secret, Announce: announce}
+		if err := writeRegion(folder, &base, port, i); err != nil {
+			return err
+		}
+	}
+	if err := writeSettings(filepath.Join(folder, "operator.yaml"), &schema.Settings{Controls: controls}); err != nil {
+		return err
+	}
+	files := map[string]string{"sheet.csv": demoSheet, "token": token, "announce": announce}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeRegion(folder string, base *schema.Settings, port, i int) error {
+	region := base.Region
+	for k := range demoEntryHosts {
+		s := cloneSettings(base)
+		s.Name = fmt.Sprintf("%s-%d", region, k+1)
+		s.Domain = fmt.Sprintf("%s-%c", region, 'a'+k)
+		s.Listen, s.Internal = demoAddress(port, i, 2*k), demoAddress(port, i, 2*k+1)
+		s.Metrics = demoAddress(port, i, 6+k)
+		if k == 0 {
+			s.Data = filepath.Join(folder, s.Name)
+		}
+		if err := writeSettings(filepath.Join(folder, s.Name+".yaml"), s); err != nil {
+			return err
+		}
+	}
+	s := cloneSettings(base)
+	s.Name = "control-" + region
+	s.Domain = region + "-a"
+	s.Internal = demoAddress(port, i, 4)
+	s.Metrics = demoAddress(port, i, 8)
+	s.Data = filepath.Join(folder, s.Name)
+	return writeSettings(filepath.Join(folder, s.Name+".yaml"), s)
+}
+
+func cloneSettings(s *schema.Settings) *schema.Settings {
+	return &schema.Settings{Region: s.Region, Controls: s.Controls, Operators: s.Operators, Secret: s.Secret, Announce: s.Announce}
+}
+
+func demoAddress(port, region, offset int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port+region*portsPerRegion+offset)
+}
+
+func writeSettings(path string, s *schema.Settings) error {
+	j, err := protojson.Marshal(s)
+	if err != nil {
+		return err
+	}
+	b, err := yaml.JSONToYAML(j)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o600)
+}
+
+func randomHex() string {
+	b := make([]byte, 24)
+	_, _ = rand.Read(b) // never fails: the runtime aborts instead
+	return hex.EncodeToString(b)
+}
--- /dev/null
+++ b/internal/configurer/snapshot.go
@@ -0,0 +1,130 @@
+package configurer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// Errors of following the configuration.
+var (
+	// ErrGap says that a delta does not follow the snapshot's version or hash.
+	ErrGap = errors.New("configurer: delta does not follow")
+	// ErrOlder says that a snapshot is older than the configuration in force.
+	ErrOlder = errors.New("configurer: older than the configuration in force")
+)
+
+// Snapshot is the whole configuration at one version. It is immutable.
+type Snapshot struct {
+	Version uint64
+	// Hash covers every delta up to Version, in order.
+	Hash  []byte
+	items map[string]*schema.Item
+}
+
+// Item returns the item at path, or nil.
+func (s *Snapshot) Item(path string) *schema.Item { return s.items[path] }
+
+// Customer returns a customer by name, or nil.
+func (s *Snapshot) Customer(name string) *schema.Customer {
+	return s.items["customer/"+name].GetCustomer()
+}
+
+// Key returns a key by its hash, or nil.
+func (s *Snapshot) Key(hash string) *schema.Key { return s.items["key/"+hash].GetKey() }
+
+// Host returns a host by name, or nil.
+func (s *Snapshot) Host(name string) *schema.Host { return s.items["host/"+name].GetHost() }
+
+// Group returns the holders of a region's records, or nil.
+func (s *Snapshot) Group(region string) *schema.Group { return s.items["group/"+region].GetGroup() }
+
+// Paths returns the paths that start with kind, sorted.
+func (s *Snapshot) Paths(kind string) []string {
+	var paths []string
+	for p := range s.items {
+		if strings.HasPrefix(p, kind+"/") {
+			paths = append(paths, p)
+		}
+	}
+	slices.Sort(paths)
+	return paths
+}
+
+// Hosts returns all hosts, sorted by name.
+func (s *Snapshot) Hosts() []*schema.Host {
+	var hosts []*schema.Host
+	for _, p := range s.Paths("host") {
+		hosts = append(hosts, s.items[p].GetHost())
+	}
+	return hosts
+}
+
+// Items returns every item, sorted by path.
+func (s *Snapshot) Items() []*schema.Item {
+	items := make([]*schema.Item, 0, len(s.items))
+	for _, p := range slices.Sorted(maps.Keys(s.items)) {
+		items = append(items, s.items[p])
+	}
+	return items
+}
+
+// Message returns the snapshot for the wire.
+func (s *Snapshot) Message() *schema.Snapshot {
+	return &schema.Snapshot{Version: s.Version, Hash: s.Hash, Items: s.Items()}
+}
+
+// FromMessage reads a snapshot from the wire.
+func FromMessage(m *schema.Snapshot) *Snapshot {
+	s := &Snapshot{Version: m.GetVersion(), Hash: m.GetHash(), items: map[string]*schema.Item{}}
+	for _, it := range m.GetItems() {
+		s.items[it.Path] = it
+	}
+	return s
+}
+
+// Follow returns the snapshot after a delta. ErrGap says that the whole snapshot is
+// needed instead.
+func (s *Snapshot) Follow(d *schema.Delta) (*Snapshot, error) {
+	if d.Version != s.Version+1 || !bytes.Equal(nextHash(s.Hash, d.Version, d.Items), d.Hash) {
+		return nil, fmt.Errorf("%w: version %d after %d", ErrGap, d.Version, s.Version)
+	}
+	next := &Snapshot{Version: d.Version, Hash: d.Hash, items: maps.Clone(s.items)}
+	for _, it := range d.Items {
+		next.put(it)
+	}
+	return next, nil
+}
+
+func (s *Snapshot) put(it *schema.Item) {
+	if it.Removed {
+		delete(s.items, it.Path)
+		return
+	}
+	s.items[it.Path] = it
+}
+
+// nextHash returns the running hash after a delta.
+func nextHash(hash []byte, version uint64, items []*schema.Item) []byte {
+	h := sha256.New()
+	h.Write(hash)
+	_ = binary.Write(h, binary.BigEndian, version)
+	for _, it := range items {
+		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(it)
+		if err != nil {
+			panic("configurer: an item cannot be marshalled: " + err.Error())
+		}
+		_ = binary.Write(h, binary.BigEndian, uint64(len(b)))
+		h.Write(b)
+	}
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/controller/service.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/trefoilloft/trefoilloft/internal/replicator"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// FreeMethods are the calls that an operator's token opens instead of the secret.
+func FreeMethods(method string) bool {
+	switch method {
+	case schema.ControlService_Propose_FullMethodName, schema.ControlService_State_FullMethodName, schema.ControlService_Change_FullMethodName:
+		return true
+	}
+	return false
+}
+
+// Service is the gRPC face of a Controller.
+type Service struct {
+	schema.UnimplementedControlServiceServer
+	Controller *Controller
+}
+
+// Replicate takes messages of other replicas.
+func (s *Service) Replicate(_ context.Context, m *schema.Messages) (*schema.Empty, error) {
+	s.Controller.step(func(r *replicator.Replica) {
+		for _, one := range m.Messages {
+			if one.To == r.ID {
+				r.Step(one)
+			}
+		}
+	})
+	return &schema.Empty{}, nil
+}
+
+// Operator returns the name of the operator whose token this is, and false if there is none.
+func Operator(settings *schema.Settings, token string) (string, bool) {
+	if token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(settings.Secret)) == 1 {
+		return "host", true
+	}
+	sum := sha256.Sum256([]byte(token))
+	got := []byte(hex.EncodeToString(sum[:]))
+	name, found := "", false
+	for _, o := range settings.Operators {
+		if subtle.ConstantTimeCompare(got, []byte(o.Hash)) == 1 {
+			name, found = o.Name, true
+		}
+	}
+	return name, found
+}
+
+var errToken = status.Error(codes.Unauthenticated, "unknown operator token")
+
+// Propose carries out an operator's or a host's command.
+func (s *Service) Propose(ctx context.Context, r *schema.ProposeRequest) (*schema.Result, error) {
+	operator, ok := Operator(s.Controller.Settings, r.Token)
+	if !ok {
+		return nil, errToken
+	}
+	if r.Command == nil {
+		return nil, status.Error(codes.InvalidArgument, "command is missing")
+	}
+	command := proto.Clone(r.Command).(*schema.Command)
+	command.Operator = operator
+	result, err := s.Controller.Propose(ctx, command)
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return result, nil
+}
+
+// State describes this control host and what it knows.
+func (s *Service) State(_ context.Context, r *schema.StateRequest) (*schema.StateReply, error) {
+	if _, ok := Operator(s.Controller.Settings, r.Token); !ok {
+		return nil, errToken
+	}
+	return s.Controller.describe(), nil
+}
+
+func (c *Controller) describe() *schema.StateReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	role, term, leader := c.replica.Role()
+	reply := &schema.StateReply{
+		Name: c.name, Id: c.replica.ID, Term: term, Commit: c.replica.Commit(), Last: c.replica.Last(),
+		Leader:  role == replicator.Leader && c.replica.LeaseTicks() > 0,
+		Version: c.state.Snapshot().Version, Members: c.replica.Members().Members,
+		Snapshot: c.state.Snapshot().Message(), History: c.state.History(), Hosts: c.acks.list(),
+	}
+	for _, m := range reply.Members {
+		if m.Id == leader {
+			reply.Leadername = m.Name
+		}
+	}
+	return reply
+}
+
+// Watch feeds a host with the configuration.
+func (s *Service) Watch(r *schema.WatchRequest, stream grpc.ServerStreamingServer[schema.WatchReply]) error {
+	return s.Controller.Distributor.Serve(stream.Context(), r, stream.Send)
+}
+
+// Report takes the versions in force at hosts.
+func (s *Service) Report(_ context.Context, r *schema.Acknowledgements) (*schema.Empty, error) {
+	s.Controller.acks.take(r.Hosts, s.Controller.Timer.Now())
+	return &schema.Empty{}, nil
+}
+
+// Change changes the control hosts by one member.
+func (s *Service) Change(_ context.Context, r *schema.MemberChange) (*schema.Result, error) {
+	if _, ok := Operator(s.Controller.Settings, r.Token); !ok {
+		return nil, errToken
+	}
+	var err error
+	s.Controller.step(func(replica *replicator.Replica) {
+		switch {
+		case r.Add != nil:
+			err = replica.AddLearner(r.Add)
+		case r.Promote != 0:
+			err = replica.Promote(r.Promote)
+		case r.Remove != 0:
+			err = replica.Remove(r.Remove)
+		}
+	})
+	if errors.Is(err, replicator.ErrNotLeader) {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	if err != nil {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
+	return &schema.Result{}, nil
+}
--- /dev/null
+++ b/internal/limiter/donor.go
@@ -0,0 +1,163 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// A host that did not answer for this long does not get the share.
+	lenderTimeout = 3 * RenewInterval
+	// A host that came back must have answered for this long before it gets the share.
+	lenderTrial = 4 * RenewInterval
+	// Hosts preferred to the present lender that are asked in each round whether they are back.
+	probeCount = 2
+)
+
+// Donor lends this host's share of each shard to one lender at a time. Set the exported
+// fields, then call Start.
+type Donor struct {
+	Host string
+	Now  func() time.Duration
+	// Hosts returns the hosts that may be lenders.
+	Hosts func() []string
+	// Share returns this host's share of every customer, in millionths.
+	Share func() int32
+
+	mu     sync.Mutex
+	shards [ShardCount]loan // guarded by mu
+	peers  map[string]*peer // guarded by mu
+}
+
+// loan is a shard's share on its way to or with a lender.
+type loan struct {
+	lender string
+	// free is when the share may go to another lender: every lease given and every grant
+	// made from it has ended by then.
+	free time.Duration
+	ok   bool // the lender's last reply accepted the share
+}
+
+// peer is a host that may be a lender.
+type peer struct {
+	// echo is the host's clock in its last reply, which arrived at heard.
+	echo  int64
+	heard time.Duration
+	// since is when it began to answer without a longer pause.
+	since time.Duration
+}
+
+// weigh is the preference of a host as the lender of a shard.
+func weigh(host string, shard int32) uint64 {
+	return xxhash.Sum64String(host + "/" + string(rune('A'+shard)))
+}
+
+// Start waits out what an earlier process on this host may have lent.
+func (d *Donor) Start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = map[string]*peer{}
+	for i := range d.shards {
+		d.shards[i] = loan{free: d.Now() + allowance(leaseLife+grantLife)}
+	}
+}
+
+// Lender returns the host that this host's share of a shard is with; "" if it is with none.
+func (d *Donor) Lender(shard int32) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := &d.shards[shard]; l.ok {
+		return l.lender
+	}
+	return ""
+}
+
+// Renewals returns the requests to send now, by host.
+func (d *Donor) Renewals() map[string]*schema.DonateRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	hosts := d.Hosts()
+	out := map[string]*schema.DonateRequest{}
+	for shard := range int32(ShardCount) {
+		d.renew(shard, rank(hosts, shard), now, out)
+	}
+	return out
+}
+
+func (d *Donor) renew(shard int32, ranked []string, now time.Duration, out map[string]*schema.DonateRequest) {
+	l := &d.shards[shard]
+	wanted := d.wanted(l, ranked, now)
+	for i, h := range ranked {
+		if h == wanted || i == probeCount {
+			break
+		}
+		d.requestTo(h, out)
+	}
+	if wanted == "" {
+		l.ok = false
+		return
+	}
+	r := d.requestTo(wanted, out)
+	if wanted != l.lender {
+		// Nothing is renewed while the old lease runs out, or it would never be free.
+		l.ok = false
+		if now < l.free {
+			return
+		}
+		l.lender = wanted
+	}
+	if p := d.peers[wanted]; p != nil && now-p.heard < leaseLife {
+		// Counted as lent from now on: the reply may be lost.
+		l.free = max(l.free, p.heard+allowance(leaseLife+grantLife))
+		r.Echo, r.Share = p.echo, d.Share()
+		r.Shards = append(r.Shards, shard)
+	}
+}
+
+// wanted returns the most preferred host that answers. This host itself always does.
+func (d *Donor) wanted(l *loan, ranked []string, now time.Duration) string {
+	for _, h := range ranked {
+		p := d.peers[h]
+		answers := p != nil && now-p.heard < lenderTimeout
+		if h == d.Host || (answers && (h == l.lender || now-p.since > lenderTrial)) {
+			return h
+		}
+	}
+	return ""
+}
+
+func (d *Donor) requestTo(host string, out map[string]*schema.DonateRequest) *schema.DonateRequest {
+	if out[host] == nil {
+		out[host] = &schema.DonateRequest{Host: d.Host}
+	}
+	return out[host]
+}
+
+// Replied takes a host's reply to a request.
+func (d *Donor) Replied(host string, r *schema.DonateRequest, reply *schema.DonateReply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	p := d.peers[host]
+	if p == nil {
+		p = &peer{since: now, heard: now}
+		d.peers[host] = p
+	}
+	if now-p.heard > lenderTimeout {
+		p.since = now
+	}
+	// An older clock than before is a reply that was overtaken, or a host that rebooted.
+	if reply.Clock > p.echo || now-p.heard > leaseLife {
+		p.echo, p.heard = reply.Clock, now
+	}
+	for _, shard := range r.Shards {
+		if l := &d.shards[shard]; l.lender == host {
+			l.ok = reply.Accepted
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/forward.go
@@ -0,0 +1,249 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	digestInterval = time.Second
+	digestLife     = 5 * time.Second
+	// Assumed time to another region and back.
+	regionRoundTrip = 160 * time.Millisecond
+	endHeader       = "trefoil-end"
+	streamHeader    = "trefoil-stream"
+)
+
+// regionTable is what is known of other regions.
+type regionTable struct {
+	mu      sync.Mutex
+	digests map[string]regionDigest // by region; guarded by mu
+}
+
+type regionDigest struct {
+	*schema.RegionDigest
+	heard time.Duration
+}
+
+func (t *regionTable) take(d *schema.RegionDigest, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.digests == nil {
+		t.digests = map[string]regionDigest{}
+	}
+	t.digests[d.Region] = regionDigest{d, now}
+}
+
+// best returns the region with the least expected wait for a model.
+func (t *regionTable) best(model string, now time.Duration) (string, time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	region, wait, found := "", time.Duration(0), false
+	for name, d := range t.digests {
+		if now-d.heard > digestLife {
+			continue
+		}
+		for _, m := range d.Models {
+			if m.Name != model || m.Slots == 0 {
+				continue
+			}
+			queued := max(0, float64(m.Running+m.Waiting+1-m.Slots)) / float64(m.Slots)
+			expect := regionRoundTrip + time.Duration(queued*float64(time.Second))
+			if !found || expect < wait || (expect == wait && name < region) {
+				region, wait, found = name, expect, true
+			}
+		}
+	}
+	return region, wait, found
+}
+
+// digest sums up this region's upstreams by model.
+func (s *Server) digest() *schema.RegionDigest {
+	d := &schema.RegionDigest{Region: s.Settings.Region}
+	models := map[string]*schema.ModelDigest{}
+	for _, u := range s.registrar.Live() {
+		for _, name := range u.Models {
+			m := models[name]
+			if m == nil {
+				m = &schema.ModelDigest{Name: name}
+				models[name] = m
+				d.Models = append(d.Models, m)
+			}
+			m.Replicas++
+			m.Slots += u.Slots
+			m.Running += u.Running
+			m.Waiting += u.Waiting
+		}
+	}
+	return d
+}
+
+// pollDigests asks one host of each other region.
+func (s *Server) pollDigests(ctx context.Context) {
+	byRegion := map[string][]*schema.Host{}
+	for _, h := range s.snapshot().Hosts() {
+		if h.Region != s.Settings.Region && h.State != schema.HostState_HOST_DRAINING {
+			byRegion[h.Region] = append(byRegion[h.Region], h)
+		}
+	}
+	turn := uint64(s.Timer.Now() / digestInterval)
+	for _, hosts := range byRegion {
+		h := hosts[turn%uint64(len(hosts))]
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			c, err := s.Dialer.Entry(h.Internal)
+			if err != nil {
+				return
+			}
+			if d, err := c.Digest(ctx, &schema.DigestRequest{Region: s.Settings.Region}); err == nil {
+				s.regions.take(d, s.Timer.Now())
+			}
+		}()
+	}
+}
+
+// forwardCompletion sends a request to another region, once. Its tokens stay reserved here.
+func (s *Server) forwardCompletion(ctx context.Context, region string, c *completion, out sink) error {
+	s.metrics.forwarded.Inc()
+	stream, err := s.openForward(ctx, region, c)
+	if err != nil {
+		return err
+	}
+	return s.relayForward(stream, c, out)
+}
+
+func (s *Server) openForward(ctx context.Context, region string, c *completion) (grpc.ServerStreamingClient[schema.ForwardReply], error) {
+	body, err := c.body()
+	if err != nil {
+		return nil, err
+	}
+	request := &schema.ForwardRequest{
+		Customer: c.customer, Method: http.MethodPost, Path: c.path, Body: body, Origin: s.Settings.Region,
+		Headers: []*schema.Header{{Name: "X-Request-Id", Value: c.id}},
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Left = time.Until(deadline).Seconds()
+	}
+	for _, h := range s.snapshot().Hosts() {
+		if h.Region != region || h.State == schema.HostState_HOST_DRAINING {
+			continue
+		}
+		client, err := s.Dialer.Entry(h.Internal)
+		if err != nil {
+			continue
+		}
+		if stream, err := client.Forward(ctx, request); err == nil {
+			return stream, nil
+		}
+	}
+	return nil, refusalOf(errNoRegion)
+}
+
+var errNoRegion = refuse(http.StatusServiceUnavailable, "no_upstream", "no upstream can take the request")
+
+func (s *Server) relayForward(stream grpc.ServerStreamingClient[schema.ForwardReply], c *completion, out sink) error {
+	var whole []byte
+	for {
+		reply, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return errBroken
+		}
+		if err != nil {
+			return fmt.Errorf("server: forward: %w", err)
+		}
+		c.used = max(c.used, reply.Tokens)
+		switch {
+		case reply.Status != 0 && reply.Status != http.StatusOK:
+			return refusalFromReply(reply)
+		case hasHeader(reply, endHeader) && c.stream:
+			return out.end()
+		case hasHeader(reply, endHeader):
+			c.first = s.Timer.Now()
+			return out.whole(whole)
+		case c.stream:
+			if c.first == 0 {
+				c.first = s.Timer.Now()
+			}
+			c.delivered.tokens++
+			if err := out.event(reply.Chunk, true); err != nil {
+				return fmt.Errorf("%w: %w", errCaller, err)
+			}
+		default:
+			whole = append(whole, reply.Chunk...)
+		}
+	}
+}
+
+func hasHeader(r *schema.ForwardReply, name string) bool {
+	for _, h := range r.Headers {
+		if h.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func refusalFromReply(reply *schema.ForwardReply) *Refusal {
+	r := refuse(int(reply.Status), "upstream_failed", "the other region refused the request")
+	r.Run = RunUnknown
+	for _, h := range reply.Headers {
+		switch h.Name {
+		case "code":
+			r.Code = h.Value
+		case "message":
+			r.Message = h.Value
+		case "run":
+			if h.Value == "false" {
+				r.Run = NotRun
+			}
+		}
+	}
+	return r
+}
+
+// forwardSink answers a host of another region.
+type forwardSink struct {
+	stream grpc.ServerStreamingServer[schema.ForwardReply]
+	c      *completion
+	sent   bool
+}
+
+func (o *forwardSink) event(data []byte, _ bool) error {
+	o.sent = true
+	return o.stream.Send(&schema.ForwardReply{Chunk: data})
+}
+
+func (o *forwardSink) end() error {
+	return o.stream.Send(&schema.ForwardReply{Headers: []*schema.Header{{Name: endHeader}}, Tokens: o.c.used})
+}
+
+func (o *forwardSink) whole(body []byte) error {
+	if err := o.stream.Send(&schema.ForwardReply{Chunk: body}); err != nil {
+		return err
+	}
+	return o.end()
+}
+
+func (o *forwardSink) fail(err error) error {
+	r := refusalOf(err)
+	if o.sent {
+		r.Run = RunUnknown
+	}
+	run := "unknown"
+	if r.Run == NotRun {
+		run = "false"
+	}
+	return o.stream.Send(&schema.ForwardReply{Status: int32(r.Status), Tokens: o.c.used, Headers: []*schema.Header{
+		{Name: "code", Value: r.Code}, {Name: "message", Value: r.Message}, {Name: "run", Value: run},
+	}})
+}
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"context"
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// metrics of an entry host. None is labelled by customer: 42,000 customers would make as
+// many series; the burn report covers customers.
+type metrics struct {
+	refused        *prometheus.CounterVec
+	answered       prometheus.Counter
+	tokens         prometheus.Counter
+	overshoot      prometheus.Counter
+	retries        prometheus.Counter
+	attemptsFailed prometheus.Counter
+	forwarded      prometheus.Counter
+	cut            prometheus.Counter
+	withdrawn      prometheus.Counter
+	sourceChanges  prometheus.Counter
+	version        prometheus.Gauge
+	first          prometheus.Histogram
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_" + name, Help: help})
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		refused:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "trefoil_refused_total", Help: "Requests refused, by code."}, []string{"code"}),
+		answered:       counter("answered_total", "Requests answered whole."),
+		tokens:         counter("tokens_total", "Tokens charged to customers."),
+		overshoot:      counter("overshoot_tokens_total", "Tokens used beyond their reservation."),
+		retries:        counter("retries_total", "Attempts after the first."),
+		attemptsFailed: counter("attempts_failed_total", "Attempts at an upstream that failed."),
+		forwarded:      counter("forwarded_total", "Requests sent to another region."),
+		cut:            counter("cut_total", "Streams that ended before their end mark."),
+		withdrawn:      counter("withdrawn_total", "Withdrawals of keys accepted."),
+		sourceChanges:  counter("config_source_changes_total", "Changes of the source of the configuration."),
+		version:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "trefoil_config_version", Help: "Version of the configuration in force."}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "trefoil_first_token_seconds", Help: "Time to the first token.",
+			Buckets: []float64{.01, .02, .05, .1, .2, .3, .4, .52, .7, 1, 2, 5, 10},
+		}),
+	}
+}
+
+// Collectors returns the metrics for a registry. Valid after Open.
+func (s *Server) Collectors() []prometheus.Collector {
+	m := s.metrics
+	return []prometheus.Collector{
+		m.refused, m.answered, m.tokens, m.overshoot, m.retries, m.attemptsFailed, m.forwarded,
+		m.cut, m.withdrawn, m.sourceChanges, m.version, m.first,
+	}
+}
+
+// account counts how a completion ended.
+func (s *Server) account(c *completion, _ *schema.Customer, err error) {
+	if c.first > 0 {
+		s.metrics.first.Observe((c.first - c.begun).Seconds())
+	}
+	if err == nil {
+		s.metrics.answered.Inc()
+	}
+	_ = errors.Is(err, context.Canceled)
+}
--- /dev/null
+++ b/internal/server/refusal.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/admitter"
+	"github.com/trefoilloft/trefoilloft/internal/authenticator"
+	"github.com/trefoilloft/trefoilloft/internal/limiter"
+	"github.com/trefoilloft/trefoilloft/internal/router"
+)
+
+// Run says whether the refused request ran.
+type Run int
+
+// The answers to whether a request ran.
+const (
+	// NotRun is certain: nothing of it reached an upstream, nor did an earlier try.
+	NotRun Run = iota
+	// RunUnknown is everything else.
+	RunUnknown
+)
+
+// Refusal is an error as callers see it.
+type Refusal struct {
+	Status  int
+	Type    string
+	Code    string
+	Message string
+	Run     Run
+	Retry   time.Duration
+	// Hosts are the hosts to use instead.
+	Hosts []string
+}
+
+// Error returns the message.
+func (r *Refusal) Error() string { return r.Message }
+
+func refuse(status int, code, message string) *Refusal {
+	kind := "invalid_request_error"
+	switch {
+	case status == http.StatusUnauthorized || status == http.StatusForbidden:
+		kind = "authentication_error"
+	case status == http.StatusTooManyRequests:
+		kind = "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		kind = "server_error"
+	}
+	return &Refusal{Status: status, Type: kind, Code: code, Message: message}
+}
+
+// refusalOf turns an error of a part into a refusal. What is not known to have been
+// refused before the upstream may have run.
+func refusalOf(err error) *Refusal {
+	var refusal *Refusal
+	var limited *limiter.Limited
+	var busy *admitter.Busy
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.Is(err, authenticator.ErrMissing):
+		return refuse(http.StatusUnauthorized, "missing_api_key", "present a key as a bearer token")
+	case errors.Is(err, authenticator.ErrUnknown):
+		return refuse(http.StatusUnauthorized, "invalid_api_key", "the key is not valid")
+	case errors.Is(err, limiter.ErrTooLarge):
+		return refuse(http.StatusTooManyRequests, "over_burst", err.Error())
+	case errors.As(err, &limited):
+		r := refuse(http.StatusTooManyRequests, "over_rate", "over the customer's rate")
+		r.Retry = limited.Retry
+		return r
+	case errors.Is(err, limiter.ErrUnknown):
+		return refuse(http.StatusUnauthorized, "invalid_api_key", "the key is not valid")
+	case errors.As(err, &busy):
+		r := refuse(http.StatusServiceUnavailable, "no_capacity", "no capacity in time")
+		r.Retry = busy.Retry
+		return r
+	case errors.Is(err, router.ErrNone):
+		r := refuse(http.StatusServiceUnavailable, "no_upstream", "no upstream can take the request")
+		r.Retry = time.Second
+		return r
+	}
+	r := refuse(http.StatusBadGateway, "upstream_failed", "the upstream failed")
+	r.Run = RunUnknown
+	return r
+}
+
+// body returns the JSON body of the refusal.
+func (r *Refusal) body() []byte {
+	var run any = "unknown"
+	if r.Run == NotRun {
+		run = false
+	}
+	b, err := json.Marshal(struct {
+		Error struct {
+			Message string   `json:"message"`
+			Type    string   `json:"type"`
+			Code    string   `json:"code"`
+			Run     any      `json:"run"`
+			Hosts   []string `json:"hosts,omitempty"`
+		} `json:"error"`
+	}{struct {
+		Message string   `json:"message"`
+		Type    string   `json:"type"`
+		Code    string   `json:"code"`
+		Run     any      `json:"run"`
+		Hosts   []string `json:"hosts,omitempty"`
+	}{r.Message, r.Type, r.Code, run, r.Hosts}})
+	if err != nil {
+		return []byte(`{"error":{"type":"server_error","code":"internal","run":"unknown"}}`)
+	}
+	return b
+}
+
+func (s *Server) writeRefusal(w http.ResponseWriter, err error) {
+	r := refusalOf(err)
+	s.metrics.refused.WithLabelValues(r.Code).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	if r.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.Retry.Seconds()))))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.body())
+}
--- /dev/null
+++ b/test/system_test.go
@@ -0,0 +1,373 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/command"
+	"github.com/trefoilloft/trefoilloft/internal/faker"
+)
+
+// patience bounds every wait for something that must come to pass.
+const patience = 40 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "trefoil")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	build := exec.Command("go", "build", "-o", folder, "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Printf("%s\n", out)
+		return 1
+	}
+	binaries = folder
+	return m.Run()
+}
+
+// system is three regions of real processes, with stand-ins for upstreams in the test.
+type system struct {
+	t        *testing.T
+	folder   string
+	port     int
+	procs    map[string]*exec.Cmd
+	engines  map[string]*faker.Engine
+	bookings map[string]*faker.Booking
+	stops    map[string]context.CancelFunc // ends an upstream's announcements
+}
+
+var nextPort atomic.Int32
+
+// freePorts returns the first of a run of ports that nobody listens on.
+func freePorts(t *testing.T, n int) int {
+	t.Helper()
+	for range 200 {
+		port := 20000 + int(nextPort.Add(100))%10000
+		free := true
+		for i := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// newSystem writes settings and starts every process and upstream.
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{
+		t: t, folder: t.TempDir(), port: freePorts(t, 60), procs: map[string]*exec.Cmd{},
+		engines: map[string]*faker.Engine{}, bookings: map[string]*faker.Booking{}, stops: map[string]context.CancelFunc{},
+	}
+	if err := command.WriteDemo(s.folder, s.port); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.close)
+	for _, region := range command.DemoRegions {
+		s.run("trefoild", "init", "--settings", s.settings("control-"+region))
+	}
+	for i, region := range command.DemoRegions {
+		s.start("control-" + region)
+		s.start(region + "-1")
+		s.start(region + "-2")
+		s.startUpstreams(i, region)
+	}
+	return s
+}
+
+func (s *system) close() {
+	for _, stop := range s.stops {
+		stop()
+	}
+	for name := range s.procs {
+		s.kill(name)
+	}
+	if s.t.Failed() {
+		s.printLogs()
+	}
+}
+
+func (s *system) printLogs() {
+	logs, _ := filepath.Glob(filepath.Join(s.folder, "*.log"))
+	for _, path := range logs {
+		if b, err := os.ReadFile(path); err == nil && len(b) > 0 {
+			s.t.Logf("%s:\n%s", filepath.Base(path), b[max(0, len(b)-2000):])
+		}
+	}
+}
+
+func (s *system) settings(name string) string { return filepath.Join(s.folder, name+".yaml") }
+
+// address returns an address of a region: 0 and 2 entry hosts, 1 and 3 their internal
+// listeners, 4 the control host, 10 the engine, 11 the booking service.
+func (s *system) address(region string, offset int) string {
+	for i, r := range command.DemoRegions {
+		if r == region {
+			return fmt.Sprintf("127.0.0.1:%d", s.port+20*i+offset)
+		}
+	}
+	s.t.Fatalf("no region %s", region)
+	return ""
+}
+
+func (s *system) run(program string, args ...string) string {
+	s.t.Helper()
+	out, err := exec.Command(filepath.Join(binaries, program), args...).CombinedOutput()
+	if err != nil {
+		s.t.Fatalf("%s %s: %v\n%s", program, strings.Join(args, " "), err, out)
+	}
+	return string(out)
+}
+
+// ctl runs trefoilctl and returns what it printed and whether it succeeded.
+func (s *system) ctl(args ...string) (string, bool) {
+	args = append([]string{"--settings", filepath.Join(s.folder, "operator.yaml")}, args...)
+	out, err := exec.Command(filepath.Join(binaries, "trefoilctl"), args...).CombinedOutput()
+	return strings.TrimSpace(string(out)), err == nil
+}
+
+func (s *system) mustCtl(args ...string) string {
+	s.t.Helper()
+	out, ok := s.ctl(args...)
+	if !ok {
+		s.t.Fatalf("trefoilctl %s:\n%s", strings.Join(args, " "), out)
+	}
+	return out
+}
+
+// start starts the daemon of a host, whose role its name tells.
+func (s *system) start(name string) {
+	s.t.Helper()
+	role := "entry"
+	if strings.HasPrefix(name, "control-") {
+		role = "control"
+	}
+	log, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(binaries, "trefoild"), role, "--settings", s.settings(name))
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.procs[name] = cmd
+}
+
+func (s *system) signal(name string, sig syscall.Signal) {
+	s.t.Helper()
+	if err := s.procs[name].Process.Signal(sig); err != nil {
+		s.t.Fatalf("%s: %v", name, err)
+	}
+}
+
+func (s *system) kill(name string) {
+	cmd := s.procs[name]
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+	delete(s.procs, name)
+}
+
+// stop asks a process to stop and returns its exit error.
+func (s *system) stop(name string) error {
+	s.t.Helper()
+	s.signal(name, syscall.SIGTERM)
+	err := s.procs[name].Wait()
+	delete(s.procs, name)
+	return err
+}
+
+func (s *system) startUpstreams(i int, region string) {
+	engine := &faker.Engine{Name: "engine-" + region, Slots: 16, Prefill: 20 * time.Millisecond, Cached: 5 * time.Millisecond, Gap: 2 * time.Millisecond}
+	s.addEngine(region, engine, 10)
+	booking := &faker.Booking{Name: "booking-" + region, Region: region, Address: s.address(region, 11), Routes: []string{"bookings"}}
+	s.bookings[region] = booking
+	s.serve(booking.Name, region, booking, booking.Address)
+}
+
+// addEngine starts an engine in a region on one of the region's ports.
+func (s *system) addEngine(region string, e *faker.Engine, offset int) {
+	e.Region, e.Models, e.Address = region, []string{"parish-1"}, s.address(region, offset)
+	s.engines[e.Name] = e
+	s.serve(e.Name, region, e, e.Address)
+}
+
+func (s *system) serve(name, region string, up faker.Upstream, address string) {
+	s.t.Helper()
+	token, err := os.ReadFile(filepath.Join(s.folder, "announce"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h := &http.Server{Handler: up, ReadHeaderTimeout: time.Second}
+	go func() { _ = h.Serve(l) }()
+	a := &faker.Announcer{
+		Upstream: up, Token: string(token), Incarnation: uint64(time.Now().UnixNano()),
+		Hosts: []string{s.address(region, 0), s.address(region, 2)},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = a.Run(ctx)
+		close(done)
+	}()
+	s.stops[name] = func() {
+		cancel()
+		<-done
+	}
+	s.t.Cleanup(func() { _ = h.Close() })
+}
+
+// applySheet waits until the demonstration's sheet is in force at all six hosts.
+func (s *system) applySheet() {
+	s.t.Helper()
+	s.eventually("six hosts active", func() bool {
+		out, ok := s.ctl("status")
+		return ok && strings.Count(out, "active") == 6
+	})
+	s.mustCtl("--timeout", "30s", "sheet", "apply", "--wait", filepath.Join(s.folder, "sheet.csv"))
+}
+
+func (s *system) issue(customer string) string {
+	s.t.Helper()
+	return s.mustCtl("key", "issue", customer)
+}
+
+// eventually waits until ok holds.
+func (s *system) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("did not come to pass: %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// refusalCode returns the code and run of an error body.
+func (a answer) refusal() (code string, run any) {
+	var b struct {
+		Error struct {
+			Code string `json:"code"`
+			Run  any    `json:"run"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(a.body), &b)
+	return b.Error.Code, b.Error.Run
+}
+
+// text returns the text of a streamed or whole completion, and whether it is whole.
+func (a answer) text() (string, bool) {
+	type chunk struct {
+		Choices []struct {
+			Delta   struct{ Content string }
+			Message struct{ Content string }
+		}
+	}
+	var whole chunk
+	if json.Unmarshal([]byte(a.body), &whole) == nil && len(whole.Choices) == 1 {
+		return whole.Choices[0].Message.Content, true
+	}
+	var b strings.Builder
+	done := false
+	for _, line := range strings.Split(a.body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		var c chunk
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			done = true
+		case json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1:
+			b.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return b.String(), done
+}
+
+var client = &http.Client{Timeout: 90 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (s *system) do(method, host, path, key string, body string, header ...string) answer {
+	r, err := http.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, err = io.Copy(&b, resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: b.String(), err: err}
+}
+
+// ask sends a completion request.
+func (s *system) ask(host, key, prompt string, stream bool) answer {
+	body, err := json.Marshal(map[string]any{
+		"model": "parish-1", "stream": stream, "max_tokens": 400,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+	return s.do(http.MethodPost, host, "/v1/chat/completions", key, string(body))
+}
+
+// want returns the text that an engine answers to a prompt.
+func want(prompt string) string { return faker.Answer(prompt+"\n", 400) }
+
+// served waits until a host answers a prompt, so that limits and upstreams are in place.
+func (s *system) served(host, key string) {
+	s.t.Helper()
+	s.eventually("host "+host+" answers", func() bool {
+		return s.ask(host, key, "ready?", false).status == http.StatusOK
+	})
+}
