Run calls that may not be repeated at most once

Cause: bookings had no records, so a resend could run again.

Change: a group of three holders in each region; write-once intents accepted by a majority before the first byte; surveys with incarnations after a lost memory; routes, replays, forwarding to the region that keeps the records. Retries are bounded by a budget and resumed streams count only attempts that bring nothing. Joining hosts get their shares together, after leases on the larger shares have ended.

Ruled out: a primary with a backup, which needs the control hosts to change views and so stops in a region that is cut off; records on disks only, which few hosts have.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/server"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -136,7 +137,7 @@
 	clock := &timer.Service{}
 	dial := &dialer.Dialer{Secret: settings.Secret, Mutual: settings.Mutual, Timer: clock}
 	defer dial.Close()
-	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Log: log}
+	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Log: log, Points: prober.FromEnvironment()}
 	return runGroup(settings, clock, s.Run, s.Collectors)
 }
 
@@ -147,7 +148,7 @@
 	defer dial.Close()
 	c := &controller.Controller{
 		Settings: settings, Timer: clock, Dialer: dial, Log: log,
-		Store:       &persister.Store{Folder: controlFolder(settings)},
+		Store:       &persister.Store{Folder: controlFolder(settings), Points: prober.FromEnvironment()},
 		Distributor: &distributor.Distributor{Timer: clock},
 	}
 	if err := c.Open(); err != nil {
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -56,6 +56,7 @@
 	addKey(app, actions)
 	addHost(app, actions)
 	addControl(app, actions)
+	addGroup(app, actions)
 	addShow(app, actions)
 	selected, err := app.Parse(args)
 	if err != nil {
--- a/internal/command/show.go
+++ b/internal/command/show.go
@@ -80,6 +80,57 @@
 	}
 }
 
+func addGroup(app *kingpin.Application, actions map[string]action) {
+	group := app.Command("group", "Work with the holders of idempotency records.")
+	show := group.Command("show", "List a region's holders.")
+	showRegion := show.Arg("region", "Region.").Required().String()
+	actions[show.FullCommand()] = func(ctx context.Context, o *operator) error { return showGroup(ctx, o, *showRegion) }
+	reset := group.Command("reset", "Open a group that lost its records; calls recorded before may run again.")
+	resetRegion := reset.Arg("region", "Region.").Required().String()
+	accept := reset.Flag("accept-lost-records", "Confirm it.").Required().Bool()
+	actions[reset.FullCommand()] = func(ctx context.Context, o *operator) error {
+		state, err := o.newest(ctx)
+		if err != nil {
+			return err
+		}
+		old := configurer.FromMessage(state.Snapshot).Group(*resetRegion)
+		if old == nil || !*accept {
+			return fmt.Errorf("region %q has no group", *resetRegion)
+		}
+		next := &schema.Group{Region: *resetRegion, Version: old.Version + 1, Holders: old.Holders, Reset_: true}
+		return o.propose(ctx, &schema.Command{Op: &schema.Command_Group{Group: next}})
+	}
+}
+
+func showGroup(ctx context.Context, o *operator, region string) error {
+	state, err := o.newest(ctx)
+	if err != nil {
+		return err
+	}
+	g := configurer.FromMessage(state.Snapshot).Group(region)
+	type row struct {
+		Host  string `json:"host"`
+		State string `json:"state"`
+	}
+	var rows []row
+	for _, holder := range g.GetHolders() {
+		r := row{holder, "surveying"}
+		for _, h := range state.Hosts {
+			if h.Host == holder && h.Ready[region] == g.Version {
+				r.State = "ready"
+			}
+		}
+		rows = append(rows, r)
+	}
+	return o.print(rows, func(w io.Writer) {
+		t := table(w, "HOLDER\tSTATE")
+		for _, r := range rows {
+			fmt.Fprintf(t, "%s\t%s\n", r.Host, r.State)
+		}
+		_ = t.Flush()
+	})
+}
+
 func addShow(app *kingpin.Application, actions map[string]action) {
 	status := app.Command("status", "Show control hosts, entry hosts and who lags.")
 	actions[status.FullCommand()] = showStatus
--- a/internal/configurer/host.go
+++ b/internal/configurer/host.go
@@ -68,24 +68,30 @@
 	return append(items, hostItem(fresh))
 }
 
-// activateHost gives a joining host its share. The leader sends it once every other host
-// has acknowledged the version that made room.
-func (s *State) activateHost(a *schema.ActivateHost) ([]*schema.Item, *schema.Result) {
-	h := s.snapshot.Host(a.Name)
-	if h == nil || h.State != schema.HostState_HOST_JOINING {
-		return nil, s.refuse(schema.Refusal_REFUSAL_MISSING, "host %q is not joining", a.Name)
-	}
-	if a.Version != s.snapshot.Version {
-		return nil, s.refuse(schema.Refusal_REFUSAL_STALE, "version %d is no longer the newest", a.Version)
+// activateHosts gives joining hosts their shares. The leader sends it once every host has
+// had the version in force that made room for them.
+func (s *State) activateHosts(a *schema.ActivateHosts) ([]*schema.Item, *schema.Result) {
+	hosts := s.snapshot.Hosts()
+	left := int32(WholeShare)
+	for _, h := range hosts {
+		left -= h.Share
+		if h.After > a.Version {
+			return nil, s.refuse(schema.Refusal_REFUSAL_STALE, "host %q joined after version %d", h.Name, a.Version)
+		}
 	}
-	used := int32(0)
-	for _, other := range s.snapshot.Hosts() {
-		used += other.Share
+	var items []*schema.Item
+	for _, name := range a.Names {
+		h := s.snapshot.Host(name)
+		if h == nil || h.State != schema.HostState_HOST_JOINING {
+			return nil, s.refuse(schema.Refusal_REFUSAL_MISSING, "host %q is not joining", name)
+		}
+		fresh := proto.Clone(h).(*schema.Host)
+		fresh.State = schema.HostState_HOST_ACTIVE
+		fresh.Share = min(left, int32(WholeShare/len(hosts)))
+		left -= fresh.Share
+		items = append(items, hostItem(fresh))
 	}
-	fresh := proto.Clone(h).(*schema.Host)
-	fresh.State = schema.HostState_HOST_ACTIVE
-	fresh.Share = min(WholeShare-used, int32(WholeShare/len(s.snapshot.Hosts())))
-	return []*schema.Item{hostItem(fresh)}, nil
+	return items, nil
 }
 
 func (s *State) drainHost(d *schema.DrainHost) ([]*schema.Item, *schema.Result) {
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -128,7 +128,7 @@
 	case *schema.Command_Remove:
 		items, refusal = s.removeHost(op.Remove)
 	case *schema.Command_Activate:
-		items, refusal = s.activateHost(op.Activate)
+		items, refusal = s.activateHosts(op.Activate)
 	case *schema.Command_Group:
 		items, refusal = s.setGroup(op.Group)
 	case *schema.Command_Epoch:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,7 +15,6 @@
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
-	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -47,12 +46,15 @@
 	Dialer      *dialer.Dialer
 	Distributor *distributor.Distributor
 	Log         zerolog.Logger
-	Points      *prober.Points
 
 	name    string
 	metrics *metrics
 	senders senders
 	acks    acknowledgements
+	// room is the version that made room for joining hosts, which every host has had since
+	// roomSince. Only reconcile uses them.
+	room      uint64
+	roomSince time.Duration
 
 	// mu guards the fields below; it is held while a step's output is synced.
 	mu       sync.Mutex
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -16,9 +16,10 @@
 
 const (
 	// Time after its last acknowledgement at which a host counts as dead for choosing holders.
-	hostTimeout = 5 * time.Second
-	// Time after becoming leader before hosts count as dead, so that they can report.
+	hostTimeout     = 5 * time.Second
 	proposalTimeout = 3 * time.Second
+	// Time after which a host has renewed its leases with its new share, or lost them.
+	leaseFlush = 2 * time.Second
 )
 
 // acknowledgements are the versions in force at entry hosts.
@@ -96,21 +97,34 @@
 	}
 }
 
-// nextActivation returns the command that gives a joining host its share, once every other
-// host has acknowledged the newest version.
+// nextActivation returns the command that gives joining hosts their shares, once every
+// host has had the smaller shares in force for long enough that no lease on a larger one
+// is left.
 func (c *Controller) nextActivation(s *configurer.Snapshot) *schema.Command {
+	var names []string
+	after := uint64(0)
 	for _, h := range s.Hosts() {
-		if h.State != schema.HostState_HOST_JOINING || s.Version < h.After {
-			continue
+		if h.State == schema.HostState_HOST_JOINING {
+			names = append(names, h.Name)
+			after = max(after, h.After)
 		}
-		for _, other := range s.Hosts() {
-			if c.acks.get(other.Name).GetVersion() < s.Version {
-				return nil
-			}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	for _, h := range s.Hosts() {
+		if c.acks.get(h.Name).GetVersion() < after {
+			return nil
 		}
-		return &schema.Command{Op: &schema.Command_Activate{Activate: &schema.ActivateHost{Name: h.Name, Version: s.Version}}}
 	}
-	return nil
+	now := c.Timer.Now()
+	if c.room != after {
+		c.room, c.roomSince = after, now
+	}
+	if now-c.roomSince < leaseFlush {
+		return nil
+	}
+	return &schema.Command{Op: &schema.Command_Activate{Activate: &schema.ActivateHosts{Names: names, Version: after}}}
 }
 
 // nextGroup returns the command that changes one holder of one region's records. The
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -17,6 +17,7 @@
 )
 
 const (
+	// Attempts in a row that bring nothing after which a request is given up.
 	attemptLimit = 4
 	// Longest time to the first token and between tokens before the connection counts as silent.
 	firstSilence = 6 * time.Second
@@ -38,10 +39,12 @@
 func (s *Server) attempt(ctx context.Context, c *completion, out sink) error {
 	excluded := map[string]bool{}
 	var last error
-	for n := range attemptLimit {
-		if n > 0 && !s.retries.take() {
+	idle := 0 // attempts since one brought anything
+	for n := 0; idle < attemptLimit; n++ {
+		if n > 0 && !s.retries.take(s.Timer.Now()) {
 			break
 		}
+		before := c.delivered.tokens
 		choice, err := s.router.Pick(router.Request{
 			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, Prefix: c.prefix, Excluded: excluded,
 		})
@@ -64,6 +67,10 @@
 			return err
 		}
 		last = err
+		idle++
+		if c.delivered.tokens > before {
+			idle = 0
+		}
 		s.metrics.attemptsFailed.Inc()
 		if errors.Is(err, caller.ErrStalled) {
 			s.caller.Purge(choice.Address)
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -81,13 +81,31 @@
 	ctx, done := s.running.add(ctx, id.hash)
 	defer done()
 	out := &httpSink{w: w, stream: c.stream}
-	err = s.complete(ctx, c, id.customer, out)
+	err = s.ended(ctx, s.complete(ctx, c, id.customer, out))
 	s.account(c, id.customer, err)
 	if err != nil {
 		out.fail(s, err)
 	}
 }
 
+// ended gives the reason why a request was ended early, if it was.
+func (s *Server) ended(ctx context.Context, err error) error {
+	switch cause := context.Cause(ctx); {
+	case err == nil:
+		return nil
+	case errors.Is(cause, errWithdrawn):
+		return errWithdrawn
+	case errors.Is(cause, context.DeadlineExceeded):
+		r := refuse(http.StatusGatewayTimeout, "deadline_exceeded", "the request did not end by its deadline")
+		r.Run = refusalOf(err).Run
+		if errors.Is(err, context.DeadlineExceeded) {
+			r.Run = RunUnknown
+		}
+		return r
+	}
+	return err
+}
+
 // withDeadline gives a request the caller's deadline.
 func (s *Server) withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
 	limit := defaultDeadline
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -85,6 +85,7 @@
 func (s *Server) configChanged(next *configurer.Snapshot) {
 	s.metrics.version.Set(float64(next.Version))
 	s.withdrawer.Prune(next)
+	s.configureRecords(next)
 	s.running.stopWithdrawn(next)
 	s.reports.wake()
 }
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +21,6 @@
 	// Assumed time to another region and back.
 	regionRoundTrip = 160 * time.Millisecond
 	endHeader       = "trefoil-end"
-	streamHeader    = "trefoil-stream"
 )
 
 // regionTable is what is known of other regions.
@@ -127,10 +127,15 @@
 	if err != nil {
 		return nil, err
 	}
-	request := &schema.ForwardRequest{
-		Customer: c.customer, Method: http.MethodPost, Path: c.path, Body: body, Origin: s.Settings.Region,
+	return s.sendForward(ctx, region, &schema.ForwardRequest{
+		Customer: c.customer, Method: http.MethodPost, Path: c.path, Body: body,
 		Headers: []*schema.Header{{Name: "X-Request-Id", Value: c.id}},
-	}
+	})
+}
+
+// sendForward opens a forwarded request at the first host of a region that takes it.
+func (s *Server) sendForward(ctx context.Context, region string, request *schema.ForwardRequest) (grpc.ServerStreamingClient[schema.ForwardReply], error) {
+	request.Origin = s.Settings.Region
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Left = time.Until(deadline).Seconds()
 	}
@@ -146,7 +151,71 @@
 			return stream, nil
 		}
 	}
-	return nil, refusalOf(errNoRegion)
+	return nil, errNoRegion
+}
+
+// forwardPlain sends a call to the region that keeps its records.
+func (s *Server) forwardPlain(ctx context.Context, region string, p *plainCall) (*plainAnswer, error) {
+	s.metrics.forwarded.Inc()
+	request := &schema.ForwardRequest{Customer: p.customerName(), Method: p.method, Path: p.path, Body: p.body}
+	for name, values := range p.header {
+		for _, v := range values {
+			request.Headers = append(request.Headers, &schema.Header{Name: name, Value: v})
+		}
+	}
+	stream, err := s.sendForward(ctx, region, request)
+	if err != nil {
+		return nil, unknown(err)
+	}
+	answer := &plainAnswer{}
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return nil, unknown(fmt.Errorf("server: forward: %w", err))
+		}
+		if hasHeader(reply, "code") {
+			return nil, refusalFromReply(reply)
+		}
+		answer.body = append(answer.body, reply.Chunk...)
+		if hasHeader(reply, endHeader) {
+			answer.status = int(reply.Status)
+			answer.kind = headerValue(reply, "type")
+			answer.replayed = hasHeader(reply, "replayed")
+			return answer, nil
+		}
+	}
+}
+
+func headerValue(r *schema.ForwardReply, name string) string {
+	for _, h := range r.Headers {
+		if h.Name == name {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+// serveForwardedPlain runs a call that another region sent to the region of its records.
+func (s *Server) serveForwardedPlain(ctx context.Context, r *schema.ForwardRequest, customer *schema.Customer, stream grpc.ServerStreamingServer[schema.ForwardReply]) error {
+	out := &forwardSink{stream: stream, c: &completion{}}
+	path, _, _ := strings.Cut(r.Path, "?")
+	route := findRoute(s.snapshot(), r.Method, path)
+	if route == nil {
+		return out.fail(refuse(http.StatusNotFound, "not_found", "there is no such route here"))
+	}
+	p := &plainCall{route: route, customer: customer, method: r.Method, path: r.Path, body: r.Body, header: http.Header{}}
+	for _, h := range r.Headers {
+		p.header.Add(h.Name, h.Value)
+	}
+	answer, err := s.runPlainHere(ctx, p)
+	if err != nil {
+		return out.fail(err)
+	}
+	headers := []*schema.Header{{Name: endHeader}, {Name: "type", Value: answer.kind}}
+	if answer.replayed {
+		headers = append(headers, &schema.Header{Name: "replayed"})
+	}
+	return stream.Send(&schema.ForwardReply{Status: int32(answer.status), Headers: headers, Chunk: answer.body})
 }
 
 var errNoRegion = refuse(http.StatusServiceUnavailable, "no_upstream", "no upstream can take the request")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,7 +23,9 @@
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/journaler"
 	"github.com/trefoilloft/trefoilloft/internal/limiter"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/proposer"
+	"github.com/trefoilloft/trefoilloft/internal/recorder"
 	"github.com/trefoilloft/trefoilloft/internal/registrar"
 	"github.com/trefoilloft/trefoilloft/internal/router"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -48,6 +50,7 @@
 	Timer    *timer.Service
 	Dialer   *dialer.Dialer
 	Log      zerolog.Logger
+	Points   *prober.Points
 
 	identity    uint64
 	distributor *distributor.Distributor
@@ -57,6 +60,7 @@
 	admitter    *admitter.Admitter
 	limiter     *limiter.Limiter
 	caller      *caller.Caller
+	holder      *recorder.Holder
 	proposer    *proposer.Proposer
 	regions     regionTable
 	reports     reports
@@ -74,6 +78,9 @@
 	s.identity = rand.Uint64() | 1
 	s.metrics = newMetrics()
 	s.buildParts(ctx)
+	if err := s.openRecords(); err != nil {
+		return err
+	}
 	if s.Settings.Data != "" {
 		if err := s.openData(ctx); err != nil {
 			return err
@@ -93,7 +100,6 @@
 	s.caller.Start(ctx)
 	s.proposer = &proposer.Proposer{Dialer: s.Dialer, Controls: s.Settings.Controls, Token: s.Settings.Secret}
 	s.limiter = s.newLimiter()
-	s.retries.left = retryLimit / 5
 }
 
 func (s *Server) newLimiter() *limiter.Limiter {
@@ -180,12 +186,20 @@
 	s.every(ctx, digestInterval, func() { go s.pollDigests(ctx) })
 	s.every(ctx, withdrawInterval, func() { go s.exchangeWithdrawn(ctx) })
 	s.every(ctx, pruneInterval, s.prune)
+	s.every(ctx, surveyInterval, func() { s.surveyOthers(ctx) })
+	s.every(ctx, pruneRecords, func() { go s.pruneRecords() })
 }
 
 func (s *Server) every(ctx context.Context, interval time.Duration, call func()) {
 	context.AfterFunc(ctx, s.Timer.Every(interval, call))
 }
 
+func (s *Server) pruneRecords() {
+	if err := s.holder.Prune(); err != nil {
+		s.Log.Error().Err(err).Msg("records are not durable")
+	}
+}
+
 func (s *Server) prune() {
 	s.router.Prune()
 	live := map[string]bool{}
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"sync"
 )
 
 // errCaller says that the caller went away.
@@ -79,32 +78,3 @@
 	_ = o.event(r.body(), true)
 	panic(http.ErrAbortHandler)
 }
-
-const (
-	// Retries earned by each answered request, and the most that may be saved up.
-	retryEarned = 0.2
-	retryLimit  = 50.0
-)
-
-// retryBudget bounds retries to a share of the requests that succeed, so that retries do
-// not multiply the load when upstreams fail together.
-type retryBudget struct {
-	mu   sync.Mutex
-	left float64 // guarded by mu
-}
-
-func (b *retryBudget) earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.left = min(retryLimit, b.left+retryEarned)
-}
-
-func (b *retryBudget) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
-}
--- /dev/null
+++ b/test/booking_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// book sends a booking, with two seconds for the answer, and returns it.
+func (s *system) book(host, key, reference string) answer {
+	return s.do(http.MethodPost, host, "/bookings", key, fmt.Sprintf(`{"reference":%q}`, reference),
+		"Idempotency-Key", reference, "X-Deadline-Ms", "2000")
+}
+
+// executions returns how often a booking ran, over all services.
+func (s *system) executions(reference string) int {
+	n := 0
+	for _, b := range s.bookings {
+		n += b.Executions()[reference]
+	}
+	return n
+}
+
+// checkOnce fails if a booking ran twice, or if an answer contradicts what ran.
+func (s *system) checkOnce(t *testing.T, reference string, a answer) {
+	t.Helper()
+	n := s.executions(reference)
+	_, run := a.refusal()
+	switch {
+	case n > 1:
+		t.Errorf("%s ran %d times", reference, n)
+	case a.err == nil && a.status == http.StatusCreated && n != 1:
+		t.Errorf("%s: answered %d, ran %d times", reference, a.status, n)
+	case a.err == nil && a.status != http.StatusCreated && run == false && n > 0:
+		t.Errorf("%s: refused with run false after it ran: %s", reference, a.body)
+	}
+}
+
+// TestBookingOnceThroughEveryHost sends one booking again through every host that may take
+// it and requires the first answer each time.
+func TestBookingOnceThroughEveryHost(t *testing.T) {
+	s := newSystem(t)
+	s.applySheet()
+	bound, free := s.issue("glasgow-choirs"), s.issue("st-giles")
+	for _, region := range []string{"lothian", "clyde", "grampian"} {
+		s.groupReady(region)
+	}
+	first := s.book(s.address("clyde", 0), bound, "pew-1")
+	if first.status != http.StatusCreated {
+		t.Fatalf("status %d: %s", first.status, first.body)
+	}
+	again := s.book(s.address("clyde", 2), bound, "pew-1")
+	if again.body != first.body || again.header.Get("Idempotent-Replayed") != "true" {
+		t.Errorf("resend: status %d, body %s, want %s", again.status, again.body, first.body)
+	}
+	if a := s.book(s.address("lothian", 0), bound, "pew-1"); a.status != http.StatusMisdirectedRequest {
+		t.Errorf("outside the home: status %d", a.status)
+	}
+	other := s.do(http.MethodPost, s.address("clyde", 0), "/bookings", bound, `{"reference":"other"}`, "Idempotency-Key", "pew-1")
+	if code, run := other.refusal(); other.status != http.StatusUnprocessableEntity || code != "idempotency_key_reused" || run != false {
+		t.Errorf("other body under the same key: status %d, %s", other.status, other.body)
+	}
+	if a := s.do(http.MethodPost, s.address("clyde", 0), "/bookings", bound, `{"reference":"x"}`); a.status != http.StatusBadRequest {
+		t.Errorf("without an idempotency key: status %d", a.status)
+	}
+	for _, region := range []string{"lothian", "clyde", "grampian"} {
+		for _, offset := range []int{0, 2} {
+			a := s.book(s.address(region, offset), free, "hall-1")
+			if a.status != http.StatusCreated {
+				t.Errorf("unbound booking through %s: status %d, %s", s.address(region, offset), a.status, a.body)
+			}
+			s.checkOnce(t, "hall-1", a)
+		}
+	}
+	s.checkOnce(t, "pew-1", first)
+}
+
+// TestBookingKilledAtEveryStep kills the host that runs a booking at every step, and
+// requires that resends through the other hosts and the restarted one never run it twice
+// and never deny that it ran.
+func TestBookingKilledAtEveryStep(t *testing.T) {
+	s := newSystem(t)
+	s.applySheet()
+	key := s.issue("glasgow-choirs")
+	for _, host := range []string{"clyde-1", "clyde-2"} {
+		steps := []string{"booking.claim", "booking.granted", "booking.answered", "booking.settled"}
+		if host == "clyde-1" { // the one with a disk
+			steps = append(steps, "journal.write", "journal.sync")
+		}
+		for _, step := range steps {
+			t.Run(host+"/"+step, func(t *testing.T) { s.killDuringBooking(t, host, step, key) })
+		}
+	}
+}
+
+func (s *system) killDuringBooking(t *testing.T, host, step, key string) {
+	own, other := s.address("clyde", 0), s.address("clyde", 2)
+	if host == "clyde-2" {
+		own, other = other, own
+	}
+	s.groupReady("clyde")
+	s.served(own, key)
+	s.served(other, key)
+	reference := host + "-" + step
+	s.kill(host)
+	s.start(host, "TREFOIL_KILL_AT="+step)
+	if step != "journal.write" && step != "journal.sync" {
+		s.groupReady("clyde")
+		s.served(own, key)
+	}
+	a := s.book(own, key, reference)
+	s.checkOnce(t, reference, a)
+	s.checkOnce(t, reference, s.book(other, key, reference))
+	_ = s.procs[host].Wait()
+	s.start(host)
+	s.groupReady("clyde")
+	s.served(own, key)
+	for _, at := range []string{own, other} {
+		s.checkOnce(t, reference, s.book(at, key, reference))
+	}
+	s.eventually("a new booking runs", func() bool { return s.book(own, key, reference+"-new").status == http.StatusCreated })
+	s.checkOnce(t, reference+"-new", s.book(other, key, reference+"-new"))
+}
--- /dev/null
+++ b/test/stream_test.go
@@ -0,0 +1,146 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/faker"
+)
+
+// TestStreamsResume breaks engines in the middle of answers, in every way, and requires
+// that callers get the whole answer without a gap, a repeat or another request's text.
+func TestStreamsResume(t *testing.T) {
+	s := newSystem(t)
+	var faults atomic.Int32
+	for name, fault := range map[string]faker.Fault{"cut": faker.Cut, "silent": faker.Silent, "foreign": faker.Foreign} {
+		e := &faker.Engine{Name: "broken-" + name, Slots: 64, Gap: time.Millisecond}
+		var seen sync.Map
+		e.Break = func(id string, token int) faker.Fault {
+			if _, again := seen.LoadOrStore(id, true); token == 5 || (token > 5 && !again) {
+				faults.Add(1)
+				return fault
+			}
+			return faker.None
+		}
+		s.addEngine("lothian", e, 12+len(s.engines)-1)
+	}
+	s.applySheet()
+	key := s.issue("st-giles")
+	host := s.address("lothian", 0)
+	s.served(host, key)
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			prompt := fmt.Sprintf("Which of the pews are free in row %d? tokens:30", i)
+			a := s.ask(host, key, prompt, true)
+			text, whole := a.text()
+			if a.err != nil || !whole || text != want(prompt) {
+				t.Errorf("prompt %d: status %d, whole %v, error %v, text %q", i, a.status, whole, a.err, text)
+			}
+		})
+	}
+	group.Wait()
+	if faults.Load() == 0 {
+		t.Error("no engine broke an answer")
+	}
+}
+
+// TestGracefulStop stops a host with streams and bookings under way, while callers still
+// use it, and requires that none is cut off or refused and that the host exits with 0.
+func TestGracefulStop(t *testing.T) {
+	s := newSystem(t)
+	slow := &faker.Engine{Name: "slow", Slots: 600, Gap: 40 * time.Millisecond}
+	s.addEngine("lothian", slow, 12)
+	s.bookings["lothian"].Delay = 300 * time.Millisecond
+	s.applySheet()
+	key := s.issue("st-giles")
+	host := s.address("lothian", 0)
+	s.served(host, key)
+	s.served(s.address("lothian", 2), key)
+	for _, region := range []string{"lothian", "clyde", "grampian"} {
+		s.groupReady(region)
+	}
+	var group sync.WaitGroup
+	var failed, done atomic.Int32
+	check := func(ok bool, what string, a answer) {
+		if !ok {
+			if failed.Add(1) < 5 {
+				t.Errorf("%s: status %d, error %v, body %.200s", what, a.status, a.err, a.body)
+			}
+			return
+		}
+		done.Add(1)
+	}
+	stream := func(i int) {
+		prompt := fmt.Sprintf("Pew %d? tokens:12", i)
+		a := s.ask(host, key, prompt, true)
+		text, whole := a.text()
+		check(whole && text == want(prompt), "stream", a)
+	}
+	begin := func(from, n int) {
+		for i := range n {
+			group.Go(func() { stream(from + i) })
+			if i%10 == 0 {
+				group.Go(func() {
+					a := s.book(host, key, fmt.Sprintf("stop-%d", from+i))
+					check(a.status == http.StatusCreated, "booking", a)
+				})
+			}
+		}
+	}
+	begin(0, 60)
+	s.eventually("requests are under way", func() bool { return slow.Announcement().Running > 0 })
+	s.signal("lothian-1", syscall.SIGTERM)
+	s.eventually("the host left the list", func() bool {
+		return !strings.Contains(s.do(http.MethodGet, s.address("clyde", 0), "/v1/hosts", "", "").body, host)
+	})
+	begin(1000, 20) // callers that still hold an older list
+	group.Wait()
+	if err := s.procs["lothian-1"].Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	delete(s.procs, "lothian-1")
+	t.Logf("%d requests answered", done.Load())
+}
+
+// TestLeavingUpstream requires that an upstream that announced its leave gets nothing more.
+func TestLeavingUpstream(t *testing.T) {
+	s := newSystem(t)
+	extra := &faker.Engine{Name: "extra", Slots: 64, Prefill: time.Millisecond}
+	s.addEngine("clyde", extra, 12)
+	s.applySheet()
+	key := s.issue("st-giles")
+	host := s.address("clyde", 0)
+	s.served(host, key)
+	served := func() int64 {
+		n, _, _ := extra.Counts()
+		return n
+	}
+	s.eventually("the engine serves", func() bool {
+		s.ask(host, key, fmt.Sprint(time.Now()), false)
+		return served() > 0
+	})
+	s.stops["extra"]()
+	n := -1
+	s.eventually("the engine is left alone", func() bool {
+		before := int(served())
+		for i := range 10 {
+			s.ask(host, key, fmt.Sprint(time.Now(), i), false)
+		}
+		same := before == n
+		n = int(served())
+		return same && n == before
+	})
+	for i := range 30 {
+		s.ask(s.address("clyde", 2*(i%2)), key, fmt.Sprint(time.Now(), i), false)
+	}
+	if got := int(served()); got != n {
+		t.Errorf("the engine that left got %d requests more", got-n)
+	}
+}
