Let a control replica without members answer its leader

Cause: a replaced control host starts without members, so it knew no address to answer to; it stayed a learner for ever. Found by TestLostDiskThenSecondLoss, which failed before and passes now. Ruled out: a lost message (every heartbeat arrived).

Change: messages carry their sender's address.

--- a/internal/command/show.go
+++ b/internal/command/show.go
@@ -73,6 +73,8 @@
 	actions[promote.FullCommand()] = func(ctx context.Context, o *operator) error {
 		return o.client.Change(ctx, &schema.MemberChange{Promote: *promoteID})
 	}
+	list := control.Command("list", "List control hosts.")
+	actions[list.FullCommand()] = listControls
 	remove := control.Command("remove", "Remove a control host.")
 	removeID := remove.Flag("id", "Identity.").Required().Uint64()
 	actions[remove.FullCommand()] = func(ctx context.Context, o *operator) error {
@@ -80,6 +82,20 @@
 	}
 }
 
+func listControls(ctx context.Context, o *operator) error {
+	state, err := o.newest(ctx)
+	if err != nil {
+		return err
+	}
+	return o.print(state.Members, func(w io.Writer) {
+		t := table(w, "CONTROL\tIDENTITY\tADDRESS\tVOTER")
+		for _, m := range state.Members {
+			fmt.Fprintf(t, "%s\t%d\t%s\t%v\n", m.Name, m.Id, m.Address, m.Voter)
+		}
+		_ = t.Flush()
+	})
+}
+
 func addGroup(app *kingpin.Application, actions map[string]action) {
 	group := app.Command("group", "Work with the holders of idempotency records.")
 	show := group.Command("show", "List a region's holders.")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,7 +97,9 @@
 		Random: rand.IntN, Capture: c.capture,
 	}
 	c.replica.Start(stored)
-	c.senders = senders{dialer: c.Dialer, timer: c.Timer, lost: c.metrics.lost}
+	c.senders = senders{
+		dialer: c.Dialer, timer: c.Timer, lost: c.metrics.lost, id: identity.Id, address: c.Settings.Internal,
+	}
 	return c.Distributor.Replace(state.Snapshot())
 }
 
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -26,8 +26,12 @@
 	dialer *dialer.Dialer
 	timer  *timer.Service
 	lost   prometheus.Counter
+	// id and address are this replica's own.
+	id      uint64
+	address string
 
 	mu     sync.Mutex
+	heard  map[uint64]string               // addresses of replicas that sent something; guarded by mu
 	queues map[string]chan *schema.Message // by address; guarded by mu
 	closed bool                            // guarded by mu
 	group  sync.WaitGroup
@@ -45,6 +49,9 @@
 	defer s.mu.Unlock()
 	for _, m := range messages {
 		address := addresses[m.To]
+		if address == "" {
+			address = s.heard[m.To]
+		}
 		if address == "" || s.closed {
 			continue
 		}
@@ -56,6 +63,16 @@
 	}
 }
 
+// learn notes the address of a replica that sent something.
+func (s *senders) learn(id uint64, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard == nil {
+		s.heard = map[uint64]string{}
+	}
+	s.heard[id] = address
+}
+
 // queue returns the queue of an address. The caller holds mu.
 func (s *senders) queue(address string) chan *schema.Message {
 	if q := s.queues[address]; q != nil {
@@ -96,7 +113,7 @@
 	defer cancel()
 	client, err := s.dialer.Control(address)
 	if err == nil {
-		_, err = client.Replicate(ctx, &schema.Messages{Messages: batch})
+		_, err = client.Replicate(ctx, &schema.Messages{Messages: batch, From: s.id, Address: s.address})
 	}
 	if err != nil {
 		s.lost.Add(float64(len(batch)))
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -33,6 +33,7 @@
 
 // Replicate takes messages of other replicas.
 func (s *Service) Replicate(_ context.Context, m *schema.Messages) (*schema.Empty, error) {
+	s.Controller.senders.learn(m.From, m.Address)
 	s.Controller.step(func(r *replicator.Replica) {
 		for _, one := range m.Messages {
 			if one.To == r.ID {
