--- a/internal/command/fake.go
+++ b/internal/command/fake.go
@@ -28,7 +28,7 @@
 	token := app.Flag("announce", "File that holds the announce token.").Required().ExistingFile()
 	engine := app.Command("engine", "A model engine.")
 	models := engine.Flag("models", "Models, separated by commas.").Default(demoModel).String()
-	slots := engine.Flag("slots", "Requests at once.").Default("8").Int()
+	slots := engine.Flag("slots", "Requests at once.").Default("16").Int()
 	prefill := engine.Flag("prefill", "Time to the first token.").Default("80ms").Duration()
 	gap := engine.Flag("gap", "Time between tokens.").Default("15ms").Duration()
 	booking := app.Command("booking", "A booking service.")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,8 +83,8 @@
 // local is what this host knows of an upstream besides its announcements.
 type local struct {
 	outstanding int
-	// started counts requests begun since the announcement heard at reported.
-	started  int
+	// own is what was outstanding when the announcement heard at reported arrived.
+	own      int
 	reported time.Duration
 	service  time.Duration // moving average of a request's whole time
 	failed   time.Duration // when it last failed; 0: never
@@ -110,7 +110,6 @@
 	u := r.choose(pool, q, now)
 	l := r.of(u)
 	l.outstanding++
-	l.started++
 	return &Choice{Upstream: u, router: r, begun: now}, nil
 }
 
@@ -228,19 +227,19 @@
 		r.local[u.Name] = l
 	}
 	if l.reported != u.Heard {
-		l.reported, l.started = u.Heard, 0
+		l.reported, l.own = u.Heard, l.outstanding
 	}
 	return l
 }
 
-// load estimates the requests on an upstream: its report, discounted by age, with what
-// this host began since, but never less than this host's own.
+// load estimates the requests on an upstream: this host's own, which it knows, and what
+// the report counts beyond them, discounted by its age.
 func (r *Router) load(u *registrar.Upstream, now time.Duration) float64 {
 	l := r.of(u)
 	age := now - u.Heard + time.Duration(u.Age*float64(time.Second))
 	trust := math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
-	reported := float64(u.Running+u.Waiting)*trust + float64(l.started)
-	return math.Max(reported, float64(l.outstanding))
+	others := math.Max(0, float64(int(u.Running+u.Waiting)-l.own))
+	return float64(l.outstanding) + others*trust
 }
 
 func (r *Router) relativeLoad(u *registrar.Upstream, now time.Duration) float64 {
