--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -313,3 +313,72 @@
 		t.Errorf("a third claim: %v, %v", r, err)
 	}
 }
+
+// request returns a claim of a key at the crew's present group.
+func (c *crew) request(id string) *schema.ClaimRequest {
+	return &schema.ClaimRequest{Region: simRegion, Version: c.group.Version, Key: []byte("pew"), Claim: id, Expires: c.now + 1000}
+}
+
+func (c *crew) accept(holder string, q *schema.ClaimRequest) *schema.ClaimReply {
+	c.t.Helper()
+	r, err := c.holders[holder].Claim(q)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return r
+}
+
+// TestForgottenAcceptanceDoesNotCount lets a holder accept an intent, lose its memory and
+// be repaired before a second one accepts, and requires that the two are no majority.
+func TestForgottenAcceptanceDoesNotCount(t *testing.T) {
+	c := newCrew(t, 4)
+	q := c.request("first")
+	forgotten := c.accept("c", q)
+	c.boot("c")
+	c.settleAll()
+	late := c.accept("a", q)
+	tally := &Tally{Holders: 3, Version: c.group.Version, Claim: q.Claim}
+	tally.Add(forgotten)
+	tally.Add(late)
+	if !forgotten.Accepted || !late.Accepted || tally.Verdict() == Granted {
+		t.Errorf("accepted %v and %v, verdict %v", forgotten.Accepted, late.Accepted, tally.Verdict())
+	}
+}
+
+// TestClaimOfAnOlderGroupRefused requires that a holder that a new member has surveyed
+// accepts nothing for the group before.
+func TestClaimOfAnOlderGroupRefused(t *testing.T) {
+	c := newCrew(t, 5)
+	q := c.request("first")
+	c.setGroup("a", "d", "c")
+	c.settleAll()
+	for _, holder := range []string{"a", "c"} {
+		if r := c.accept(holder, q); r.Accepted {
+			t.Errorf("holder %s accepted a claim of version %d at version %d", holder, q.Version, r.Version)
+		}
+	}
+}
+
+// TestGivenUpClaimStaysGivenUp requires that a claim that arrives after it was given up is
+// refused, and that giving up another claim clears nothing.
+func TestGivenUpClaimStaysGivenUp(t *testing.T) {
+	c := newCrew(t, 6)
+	h := c.holders["a"]
+	void := func(id string) {
+		r := &schema.Record{Key: []byte("pew"), Claim: id, State: schema.RecordState_RECORD_VOID, Expires: c.now + 1000}
+		if err := h.Settle(simRegion, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	void("early")
+	if r := c.accept("a", c.request("early")); r.Accepted {
+		t.Error("a claim was accepted after it was given up")
+	}
+	if r := c.accept("a", c.request("next")); !r.Accepted {
+		t.Error("the next claim was refused")
+	}
+	void("early")
+	if r := c.accept("a", c.request("third")); r.Accepted {
+		t.Error("giving up one claim cleared another")
+	}
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -24,10 +24,11 @@
 			t.Errorf("stream %v: status %d, whole %v, text %q, want %q", stream, a.status, whole, text, want("Which pews are free?"))
 		}
 	}
-	t.Run("refusals", func(t *testing.T) { s.checkRefusals(t, key, bound) })
+	small := s.issue("aberdeen-halls") // its burst is 10,000 tokens
+	t.Run("refusals", func(t *testing.T) { s.checkRefusals(t, key, bound, small) })
 }
 
-func (s *system) checkRefusals(t *testing.T, key, bound string) {
+func (s *system) checkRefusals(t *testing.T, key, bound, small string) {
 	lothian := s.address("lothian", 0)
 	chat := "/v1/chat/completions"
 	ok := `{"model":"parish-1","messages":[{"role":"user","content":"x"}]}`
@@ -43,7 +44,7 @@
 		{"not JSON", http.MethodPost, chat, key, `{`, "bad_json", 400},
 		{"field of another type", http.MethodPost, chat, key, `{"model":"parish-1","stream":3,"messages":[]}`, "bad_request", 400},
 		{"no messages", http.MethodPost, chat, key, `{"model":"parish-1"}`, "bad_request", 400},
-		{"too large for the burst", http.MethodPost, chat, key, `{"model":"parish-1","max_tokens":30000,"messages":[]}`, "over_burst", 429},
+		{"too large for the burst", http.MethodPost, chat, small, `{"model":"parish-1","max_tokens":30000,"messages":[]}`, "over_burst", 429},
 		{"too many tokens", http.MethodPost, chat, key, `{"model":"parish-1","max_tokens":9999999,"messages":[]}`, "bad_request", 400},
 		{"unknown route", http.MethodGet, "/nowhere", key, "", "not_found", 404},
 	} {
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -37,7 +37,11 @@
 		panic(err)
 	}
 	defer os.RemoveAll(folder)
-	build := exec.Command("go", "build", "-o", folder, "../cmd/...")
+	args := []string{"build", "-o", folder, "../cmd/..."}
+	if os.Getenv("TREFOIL_RACE") != "" {
+		args = append(args[:1:1], append([]string{"-race"}, args[1:]...)...)
+	}
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Printf("%s\n", out)
 		return 1
@@ -91,6 +95,7 @@
 	if err := command.WriteDemo(s.folder, s.port); err != nil {
 		t.Fatal(err)
 	}
+	s.raiseLimits()
 	t.Cleanup(s.close)
 	for _, region := range command.DemoRegions {
 		s.run("trefoild", "init", "--settings", s.settings("control-"+region))
@@ -104,6 +109,20 @@
 	return s
 }
 
+// raiseLimits gives the sheet's customers so much that only tests of limits meet them.
+func (s *system) raiseLimits() {
+	s.t.Helper()
+	path := filepath.Join(s.folder, "sheet.csv")
+	b, err := os.ReadFile(path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	b = bytes.ReplaceAll(b, []byte(",4000,20000,"), []byte(",60000,300000,"))
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *system) close() {
 	for _, stop := range s.stops {
 		stop()
