--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -62,6 +62,7 @@
 	addControl(app, actions)
 	addGroup(app, actions)
 	addShow(app, actions)
+	addBurn(app, actions)
 	selected, err := app.Parse(args)
 	if err != nil {
 		return usage(stderr, app, err)
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -90,7 +90,6 @@
 	group   sync.WaitGroup
 	crossed atomic.Int64 // bytes between regions
 	sent    atomic.Int64 // bytes in all
-	most    atomic.Int64 // subscribers of the busiest source
 }
 
 // subscribe makes one more subscriber of a source.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
+	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -69,13 +73,28 @@
 	}
 }
 
-// account counts how a completion ended.
-func (s *Server) account(c *completion, _ *schema.Customer, err error) {
+// account counts how a completion ended, for the metrics and the customer's service level.
+// Refusals of what the customer may not do say nothing of the service.
+func (s *Server) account(c *completion, customer *schema.Customer, err error) {
+	first := c.first - c.begun
 	if c.first > 0 {
-		s.metrics.first.Observe((c.first - c.begun).Seconds())
+		s.metrics.first.Observe(first.Seconds())
 	}
 	if err == nil {
 		s.metrics.answered.Inc()
+		s.burn.Count(customer.Name, first.Seconds() <= customer.Objective)
+		return
 	}
-	_ = errors.Is(err, context.Canceled)
+	if errors.Is(err, errCaller) || refusalOf(err).Status < http.StatusInternalServerError {
+		return
+	}
+	s.burn.Count(customer.Name, false)
+}
+
+// Burn tells the service level that customers had at this host.
+func (x *Service) Burn(_ context.Context, r *schema.BurnRequest) (*schema.BurnReply, error) {
+	if _, ok := controller.Operator(x.Server.Settings, r.Token); !ok {
+		return nil, status.Error(codes.Unauthenticated, "unknown operator token")
+	}
+	return &schema.BurnReply{Region: x.Server.Settings.Region, Customers: x.Server.burn.Read()}, nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/proposer"
 	"github.com/trefoilloft/trefoilloft/internal/recorder"
 	"github.com/trefoilloft/trefoilloft/internal/registrar"
+	"github.com/trefoilloft/trefoilloft/internal/reporter"
 	"github.com/trefoilloft/trefoilloft/internal/router"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -67,6 +68,7 @@
 	running     runningKeys
 	retries     retryBudget
 	mayRecord   sync.Mutex
+	burn        reporter.Reporter
 	metrics     *metrics
 	draining    atomic.Bool
 	inflight    atomic.Int64
@@ -77,6 +79,7 @@
 func (s *Server) Open(ctx context.Context) error {
 	s.identity = rand.Uint64() | 1
 	s.metrics = newMetrics()
+	s.burn.Now = s.Timer.Now
 	s.buildParts(ctx)
 	if err := s.openRecords(); err != nil {
 		return err
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -14,7 +14,7 @@
 
 // freeMethods are the calls that an operator's token opens instead of the secret.
 func freeMethods(method string) bool {
-	return method == schema.EntryService_Withdraw_FullMethodName
+	return method == schema.EntryService_Withdraw_FullMethodName || method == schema.EntryService_Burn_FullMethodName
 }
 
 // Service is the gRPC face of a Server for the other processes.
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -25,6 +25,9 @@
 		}
 	}
 	small := s.issue("aberdeen-halls") // its burst is 10,000 tokens
+	if out := s.mustCtl("burn"); !strings.Contains(out, "st-giles") {
+		t.Errorf("burn report without the customer:\n%s", out)
+	}
 	t.Run("refusals", func(t *testing.T) { s.checkRefusals(t, key, bound, small) })
 }
 
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -219,15 +219,6 @@
 	delete(s.procs, name)
 }
 
-// stop asks a process to stop and returns its exit error.
-func (s *system) stop(name string) error {
-	s.t.Helper()
-	s.signal(name, syscall.SIGTERM)
-	err := s.procs[name].Wait()
-	delete(s.procs, name)
-	return err
-}
-
 func (s *system) startUpstreams(i int, region string) {
 	engine := &faker.Engine{Name: "engine-" + region, Slots: 16, Prefill: 20 * time.Millisecond, Cached: 5 * time.Millisecond, Gap: 2 * time.Millisecond}
 	s.addEngine(region, engine, 10)
