Blame a connection before its upstream, whether or not it was used before

Cause: a stream whose connection fell silent was retried on the same upstream only if the connection had been used before; with one engine in a region the request was given up.

Change: the first stall of an upstream in a request closes its idle connections and tries it once more; progress in between counts anew. A stream that is given up ends with its error event and without the end mark, instead of an aborted connection that may lose the event.

A gRPC connection that falls silent either way is replaced after one call ran out of time.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -129,9 +129,7 @@
 // Answer is an upstream's answer whose body is still to be read. Close must be called.
 type Answer struct {
 	*http.Response
-	Watch *Watch
-	// Reused is set if the connection had carried a request before.
-	Reused bool
+	Watch  *Watch
 	cancel context.CancelFunc
 }
 
@@ -148,15 +146,12 @@
 // Send sends a request and returns the answer once its header is there, which may take up
 // to first. Once: the call may not be repeated, so it gets a connection of its own, on
 // which the library never sends it a second time. Errors wrap ErrNotSent or ErrStalled
-// where they are known to apply. The bool reports whether the connection was reused.
-func (c *Caller) Send(r *http.Request, first time.Duration, once bool) (*Answer, bool, error) {
+// where they are known to apply.
+func (c *Caller) Send(r *http.Request, first time.Duration, once bool) (*Answer, error) {
 	ctx, cancel := context.WithCancel(r.Context())
 	watch := c.watch(cancel, first)
-	var connected, reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connected.Store(true)
-		reused.Store(info.Reused)
-	}}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	var t http.RoundTripper = c.transport(r.URL.Host)
 	if once {
@@ -165,11 +160,11 @@
 	}
 	response, err := t.RoundTrip(r)
 	if err == nil {
-		return &Answer{Response: response, Watch: watch, Reused: reused.Load(), cancel: cancel}, reused.Load(), nil
+		return &Answer{Response: response, Watch: watch, cancel: cancel}, nil
 	}
 	watch.end()
 	cancel()
-	return nil, reused.Load(), classify(err, watch.stalled.Load(), connected.Load())
+	return nil, classify(err, watch.stalled.Load(), connected.Load())
 }
 
 func classify(err error, stalled, connected bool) error {
--- /dev/null
+++ b/internal/dialer/dialer_test.go
@@ -0,0 +1,85 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/relayer"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+// TestSilentConnectionReplaced lets the open connection to a host fall silent, one way or
+// both, while new ones work, and requires that a call after the first that ran out of time
+// is answered.
+func TestSilentConnectionReplaced(t *testing.T) {
+	s, err := NewServer("secret", nil, func(string) bool { return false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema.RegisterEntryServiceServer(s, echo{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	defer s.Stop()
+	relay := &relayer.Relay{To: l.Addr().String()}
+	address, err := relay.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	d := &Dialer{Secret: "secret", Timer: &timer.Service{}}
+	defer d.Close()
+	call := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		c, err := d.Entry(address)
+		if err != nil {
+			return err
+		}
+		_, err = c.Donate(ctx, &schema.DonateRequest{})
+		return err
+	}
+	for _, direction := range []relayer.Direction{relayer.Both, relayer.Forward, relayer.Back} {
+		if err := call(20 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if relay.Silence(direction) == 0 {
+			t.Fatal("no connection was open")
+		}
+		if err := call(200 * time.Millisecond); err == nil {
+			t.Fatal("a silent connection answered")
+		}
+		if err := call(20 * time.Second); err != nil {
+			t.Errorf("direction %d: after a call ran out of time: %v", direction, err)
+		}
+	}
+}
+
+// TestWrongSecret requires that a process without the secret is refused.
+func TestWrongSecret(t *testing.T) {
+	s, err := NewServer("secret", nil, func(string) bool { return false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema.RegisterEntryServiceServer(s, echo{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	defer s.Stop()
+	d := &Dialer{Secret: "guess", Timer: &timer.Service{}}
+	defer d.Close()
+	c, err := d.Entry(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Donate(t.Context(), &schema.DonateRequest{}); err == nil {
+		t.Error("a call with a wrong secret was answered")
+	}
+}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -37,7 +37,7 @@
 // attempt runs a request on one upstream after another until one gives the whole answer.
 // Completions may be repeated; a stream goes on after the tokens delivered already.
 func (s *Server) attempt(ctx context.Context, c *completion, out sink) error {
-	excluded := map[string]bool{}
+	excluded, stalled := map[string]bool{}, map[string]bool{}
 	var last error
 	idle := 0 // attempts since one brought anything
 	for n := 0; idle < attemptLimit; n++ {
@@ -57,8 +57,12 @@
 		if n > 0 {
 			s.metrics.retries.Inc()
 		}
-		reused, err := s.tryUpstream(ctx, c, choice, out)
-		choice.Done(outcome(ctx, err))
+		err = s.tryUpstream(ctx, c, choice, out)
+		if c.delivered.tokens > before {
+			delete(stalled, choice.Name) // a connection of it worked meanwhile
+		}
+		again := s.blameConnection(choice.Name, choice.Address, err, stalled)
+		choice.Done(outcome(ctx, err, again))
 		if err == nil {
 			s.retries.earn()
 			return nil
@@ -72,22 +76,29 @@
 			idle = 0
 		}
 		s.metrics.attemptsFailed.Inc()
-		if errors.Is(err, caller.ErrStalled) {
-			s.caller.Purge(choice.Address)
-			if reused {
-				continue // the connection is blamed first, the upstream if a new one stalls too
-			}
-		}
-		excluded[choice.Name] = true
+		excluded[choice.Name] = !again
 	}
 	return last
 }
 
-func outcome(ctx context.Context, err error) router.Outcome {
+// blameConnection reports whether an upstream is to be tried once more on a new connection:
+// the first that falls silent is blamed itself, and all that are idle are closed with it.
+func (s *Server) blameConnection(name, address string, err error, stalled map[string]bool) bool {
+	if !errors.Is(err, caller.ErrStalled) {
+		return false
+	}
+	s.caller.Purge(address)
+	first := !stalled[name]
+	stalled[name] = true
+	return first
+}
+
+// outcome tells the router how an attempt ended. again: only a connection is to blame.
+func outcome(ctx context.Context, err error, again bool) router.Outcome {
 	switch {
 	case err == nil:
 		return router.Finished
-	case ctx.Err() != nil || errors.Is(err, errCaller) || isFinal(err):
+	case again || ctx.Err() != nil || errors.Is(err, errCaller) || isFinal(err):
 		return router.Canceled
 	}
 	return router.Failed
@@ -99,16 +110,15 @@
 	return errors.As(err, &r)
 }
 
-// tryUpstream runs the request on one upstream. It reports whether the connection had
-// been used before.
-func (s *Server) tryUpstream(ctx context.Context, c *completion, u *router.Choice, out sink) (bool, error) {
+// tryUpstream runs the request on one upstream.
+func (s *Server) tryUpstream(ctx context.Context, c *completion, u *router.Choice, out sink) error {
 	body, err := c.body()
 	if err != nil {
-		return false, err
+		return err
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Address+c.path, bytes.NewReader(body))
 	if err != nil {
-		return false, fmt.Errorf("server: %w", err)
+		return fmt.Errorf("server: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("X-Request-Id", c.id)
@@ -119,18 +129,18 @@
 			s.metrics.upstreamFirst.Observe((c.first - begun).Seconds())
 		}
 	}()
-	answer, reused, err := s.caller.Send(r, firstSilence, false)
+	answer, err := s.caller.Send(r, firstSilence, false)
 	if err != nil {
-		return reused, err
+		return err
 	}
 	defer answer.Close()
 	if answer.StatusCode != http.StatusOK {
-		return reused, upstreamRefusal(answer)
+		return upstreamRefusal(answer)
 	}
 	if c.stream {
-		return reused, s.relayStream(c, answer, out)
+		return s.relayStream(c, answer, out)
 	}
-	return reused, s.relayWhole(c, answer, out)
+	return s.relayWhole(c, answer, out)
 }
 
 // upstreamRefusal tells a refusal of the request from a failure of the upstream.
--- a/internal/server/capacity_test.go
+++ b/internal/server/capacity_test.go
@@ -48,7 +48,7 @@
 			return
 		}
 		q.Header.Set("X-Request-Id", c.id)
-		answer, _, err := s.caller.Send(q, firstSilence, false)
+		answer, err := s.caller.Send(q, firstSilence, false)
 		if err != nil {
 			b.Error(err)
 			return
--- a/internal/server/once.go
+++ b/internal/server/once.go
@@ -241,8 +241,8 @@
 			s.settleRecord(c, &schema.Record{State: schema.RecordState_RECORD_VOID})
 			return nil, err // this claim was granted, so no other ran either
 		}
-		answer, _, err := s.callPlain(ctx, p, choice, true)
-		choice.Done(outcome(ctx, err))
+		answer, err := s.callPlain(ctx, p, choice, true)
+		choice.Done(outcome(ctx, err, false))
 		if errors.Is(err, caller.ErrNotSent) {
 			s.metrics.attemptsFailed.Inc()
 			excluded[choice.Name] = true
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -206,7 +206,7 @@
 
 // repeatPlain runs a call that may be repeated, on one upstream after another.
 func (s *Server) repeatPlain(ctx context.Context, p *plainCall) (*plainAnswer, error) {
-	excluded := map[string]bool{}
+	excluded, stalled := map[string]bool{}, map[string]bool{}
 	var last error
 	for n := range attemptLimit {
 		if n > 0 && !s.retries.take(s.Timer.Now()) {
@@ -219,8 +219,9 @@
 			}
 			break
 		}
-		answer, reused, err := s.callPlain(ctx, p, choice, false)
-		choice.Done(outcome(ctx, err))
+		answer, err := s.callPlain(ctx, p, choice, false)
+		again := s.blameConnection(choice.Name, choice.Address, err, stalled)
+		choice.Done(outcome(ctx, err, again))
 		if err == nil {
 			s.retries.earn()
 			return answer, nil
@@ -230,32 +231,26 @@
 		}
 		last = err
 		s.metrics.attemptsFailed.Inc()
-		if errors.Is(err, caller.ErrStalled) {
-			s.caller.Purge(choice.Address)
-			if reused {
-				continue
-			}
-		}
-		excluded[choice.Name] = true
+		excluded[choice.Name] = !again
 	}
 	return nil, last
 }
 
 // callPlain calls one upstream and reads its whole answer.
-func (s *Server) callPlain(ctx context.Context, p *plainCall, u *router.Choice, once bool) (*plainAnswer, bool, error) {
+func (s *Server) callPlain(ctx context.Context, p *plainCall, u *router.Choice, once bool) (*plainAnswer, error) {
 	r, err := http.NewRequestWithContext(ctx, p.method, "http://"+u.Address+p.path, bytes.NewReader(p.body))
 	if err != nil {
-		return nil, false, errors.Join(caller.ErrNotSent, err)
+		return nil, errors.Join(caller.ErrNotSent, err)
 	}
 	r.Header = p.header.Clone()
-	answer, reused, err := s.caller.Send(r, serviceTimeout, once)
+	answer, err := s.caller.Send(r, serviceTimeout, once)
 	if err != nil {
-		return nil, reused, err
+		return nil, err
 	}
 	defer answer.Close()
 	b, err := io.ReadAll(io.LimitReader(progressReader{answer}, serviceLimit))
 	if err != nil {
-		return nil, reused, errors.Join(caller.ErrCut, err)
+		return nil, errors.Join(caller.ErrCut, err)
 	}
-	return &plainAnswer{status: answer.StatusCode, kind: answer.Header.Get("Content-Type"), body: b}, reused, nil
+	return &plainAnswer{status: answer.StatusCode, kind: answer.Header.Get("Content-Type"), body: b}, nil
 }
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -76,5 +76,4 @@
 	r.Run = RunUnknown
 	s.metrics.cut.Inc()
 	_ = o.event(r.body(), true)
-	panic(http.ErrAbortHandler)
 }
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -144,3 +144,35 @@
 		t.Errorf("the engine that left got %d requests more", got-n)
 	}
 }
+
+// TestCutStreamSaysSo breaks every attempt at a stream and requires that the caller is told
+// so after what it got, and that the answer does not look whole.
+func TestCutStreamSaysSo(t *testing.T) {
+	s := newSystem(t)
+	s.stops["engine-lothian"]()
+	e := &faker.Engine{Name: "broken", Slots: 8}
+	e.Break = func(_ string, token int) faker.Fault {
+		if token >= 5 {
+			return faker.Cut
+		}
+		return faker.None
+	}
+	s.addEngine("lothian", e, 12)
+	s.applySheet()
+	key := s.issue("st-giles")
+	s.eventually("a stream breaks", func() bool {
+		a := s.ask(s.address("lothian", 0), key, "Pews? tokens:30", true)
+		text, whole := a.text()
+		if whole && text != want("Pews? tokens:30") {
+			t.Fatalf("a cut answer looks whole: %q", text)
+		}
+		code, run := answer{body: lastEvent(a.body)}.refusal()
+		return !whole && text != "" && code == "upstream_failed" && run == "unknown"
+	})
+}
+
+// lastEvent returns the data of the last event of a stream.
+func lastEvent(body string) string {
+	at := strings.LastIndex(body, "data: ")
+	return strings.TrimSpace(body[max(0, at+len("data: ")):])
+}
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -236,16 +236,23 @@
 
 func (s *system) serve(name, region string, up faker.Upstream, address string) {
 	s.t.Helper()
-	token, err := os.ReadFile(filepath.Join(s.folder, "announce"))
-	if err != nil {
-		s.t.Fatal(err)
-	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	h := &http.Server{Handler: up, ReadHeaderTimeout: time.Second}
 	go func() { _ = h.Serve(l) }()
+	s.t.Cleanup(func() { _ = h.Close() })
+	s.announce(name, region, up)
+}
+
+// announce announces an upstream until the function in stops is called.
+func (s *system) announce(name, region string, up faker.Upstream) {
+	s.t.Helper()
+	token, err := os.ReadFile(filepath.Join(s.folder, "announce"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	a := &faker.Announcer{
 		Upstream: up, Token: string(token), Incarnation: uint64(time.Now().UnixNano()),
 		Hosts: []string{s.address(region, 0), s.address(region, 2)},
@@ -260,7 +267,6 @@
 		cancel()
 		<-done
 	}
-	s.t.Cleanup(func() { _ = h.Close() })
 }
 
 // applySheet waits until the demonstration's sheet is in force at all six hosts.
