--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"os"
@@ -23,6 +24,7 @@
 
 const (
 	configFile     = "config"
+	identityFile   = "identity"
 	reportInterval = 500 * time.Millisecond
 	callTimeout    = 800 * time.Millisecond
 	// A source that sends nothing for this long is left.
@@ -69,6 +71,22 @@
 	return n
 }
 
+// loadIdentity returns the identity that a data folder holds. An empty folder gets fresh.
+func loadIdentity(folder string, fresh uint64) (uint64, error) {
+	path := filepath.Join(folder, identityFile)
+	b, err := journaler.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return fresh, journaler.WriteFile(path, binary.BigEndian.AppendUint64(nil, fresh))
+	}
+	if err != nil {
+		return 0, err
+	}
+	if len(b) != 8 {
+		return 0, fmt.Errorf("%w: %s: offset 0", journaler.ErrDamaged, path)
+	}
+	return binary.BigEndian.Uint64(b), nil
+}
+
 func (s *Server) loadConfig(folder string) error {
 	b, err := journaler.ReadFile(filepath.Join(folder, configFile))
 	if errors.Is(err, os.ErrNotExist) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -53,7 +53,9 @@
 	Log      zerolog.Logger
 	Points   *prober.Points
 
+	// identity names the host: kept on its disk if it has one. incarnation names the process.
 	identity    uint64
+	incarnation uint64
 	distributor *distributor.Distributor
 	withdrawer  *withdrawer.Withdrawer
 	registrar   *registrar.Registrar
@@ -77,7 +79,7 @@
 
 // Open reads the data folder, if the host has a disk, and builds the parts.
 func (s *Server) Open(ctx context.Context) error {
-	s.identity = rand.Uint64() | 1
+	s.identity, s.incarnation = rand.Uint64()|1, rand.Uint64()|1
 	s.metrics = newMetrics()
 	s.burn.Now = s.Timer.Now
 	s.buildParts(ctx)
@@ -109,7 +111,7 @@
 	name := s.Settings.Name
 	return &limiter.Limiter{
 		Host: name, Timer: s.Timer, Transport: lendingTransport{s},
-		Lender:  &limiter.Lender{Now: s.Timer.Now, Terms: s.terms, Incarnation: s.identity},
+		Lender:  &limiter.Lender{Now: s.Timer.Now, Terms: s.terms, Incarnation: s.incarnation},
 		Donor:   &limiter.Donor{Host: name, Now: s.Timer.Now, Hosts: s.lenders, Share: s.share},
 		Spender: &limiter.Spender{Host: name, Now: s.Timer.Now, Terms: s.terms, Share: s.share},
 	}
@@ -124,6 +126,9 @@
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = unlock() })
+	if s.identity, err = loadIdentity(folder, s.identity); err != nil {
+		return err
+	}
 	if err := s.loadConfig(folder); err != nil {
 		return err
 	}
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -107,6 +107,10 @@
 	}
 	delete(s.procs, "lothian-1")
 	t.Logf("%d requests answered", done.Load())
+	s.start("lothian-1")
+	s.eventually("the host is listed again", func() bool {
+		return strings.Contains(s.do(http.MethodGet, s.address("clyde", 0), "/v1/hosts", "", "").body, host)
+	})
 }
 
 // TestLeavingUpstream requires that an upstream that announced its leave gets nothing more.
