--- /dev/null
+++ b/test/proof_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"flag"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the golden file of the fault matrix")
+
+const proofGolden = "testdata/proof.golden"
+
+// TestProofMatrix requires that every cell of the fault matrix names tests that exist,
+// gives a reason or says that it is not proved, and that no cell changed unnoticed.
+func TestProofMatrix(t *testing.T) {
+	page, err := os.ReadFile("../docs/PROOF.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	short := map[string]string{}
+	for _, m := range regexp.MustCompile("`([A-Za-z]+)`\\s+(Test[A-Za-z]+)").FindAllStringSubmatch(string(page), -1) {
+		short[m[1]] = m[2]
+	}
+	exist := testNames(t)
+	var golden strings.Builder
+	for fault, cells := range matrix(string(page), t) {
+		for promise, cell := range cells {
+			checkCell(t, fault+"/"+promise, cell, short, exist)
+		}
+	}
+	for _, line := range rows(string(page)) {
+		golden.WriteString(line + "\n")
+	}
+	if *update {
+		if err := os.WriteFile(proofGolden, []byte(golden.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(proofGolden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), golden.String()); diff != "" {
+		t.Errorf("the matrix changed; check it, then run with -update: -want +got:\n%s", diff)
+	}
+}
+
+func checkCell(t *testing.T, name, cell string, short map[string]string, exist map[string]bool) {
+	t.Helper()
+	if cell == "not proved" || strings.HasPrefix(cell, "none: ") {
+		return
+	}
+	for _, s := range strings.Split(cell, ", ") {
+		if full := short[s]; full == "" || !exist[full] {
+			t.Errorf("%s: %q names no test", name, s)
+		}
+	}
+}
+
+// rows returns the lines of the matrix.
+func rows(page string) []string {
+	var out []string
+	for _, line := range strings.Split(page, "\n") {
+		if strings.HasPrefix(line, "| ") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// matrix returns the cells by fault and promise.
+func matrix(page string, t *testing.T) map[string]map[string]string {
+	t.Helper()
+	lines := rows(page)
+	header := split(lines[0])
+	out := map[string]map[string]string{}
+	for _, line := range lines[1:] {
+		cells := split(line)
+		if len(cells) != len(header) {
+			t.Fatalf("row %q has %d cells of %d", cells[0], len(cells), len(header))
+		}
+		out[cells[0]] = map[string]string{}
+		for i := 1; i < len(cells); i++ {
+			out[cells[0]][header[i]] = cells[i]
+		}
+	}
+	return out
+}
+
+func split(line string) []string {
+	var cells []string
+	for _, c := range strings.Split(strings.Trim(line, "|"), "|") {
+		cells = append(cells, strings.TrimSpace(c))
+	}
+	return cells
+}
+
+// testNames returns the names of all tests of the module.
+func testNames(t *testing.T) map[string]bool {
+	t.Helper()
+	names := map[string]bool{}
+	function := regexp.MustCompile(`(?m)^func (Test[A-Za-z]+)\(`)
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		b, err := os.ReadFile(path)
+		for _, m := range function.FindAllStringSubmatch(string(b), -1) {
+			names[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
