--- a/test/booking_test.go
+++ b/test/booking_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // book sends a booking, with two seconds for the answer, and returns it.
@@ -121,3 +127,83 @@
 	s.eventually("a new booking runs", func() bool { return s.book(own, key, reference+"-new").status == http.StatusCreated })
 	s.checkOnce(t, reference+"-new", s.book(other, key, reference+"-new"))
 }
+
+// TestBookingsUnderFaults sends bookings, each several times through both hosts of the
+// region, while hosts are frozen, thawed, killed and restarted, two at a time. It requires
+// that none runs twice and that no answer denies what ran.
+func TestBookingsUnderFaults(t *testing.T) {
+	s := newSystem(t)
+	s.bookings["clyde"].Delay = 30 * time.Millisecond
+	s.bookings["clyde"].Drop = func(reference string) bool { return strings.HasSuffix(reference, "7") }
+	s.applySheet()
+	key := s.issue("glasgow-choirs")
+	s.groupReady("clyde")
+	hosts := []string{s.address("clyde", 0), s.address("clyde", 2)}
+	for _, h := range hosts {
+		s.served(h, key)
+	}
+	stop := make(chan struct{})
+	var faults, senders sync.WaitGroup
+	faults.Go(func() { s.harass(stop, []string{"clyde-1", "clyde-2", "grampian-1", "lothian-1"}) })
+	var answered atomic.Int32
+	for i := range 40 {
+		reference := fmt.Sprintf("fault-%d", i)
+		for n := range 4 {
+			senders.Go(func() {
+				time.Sleep(time.Duration(i*100+n*170) * time.Millisecond)
+				a := s.book(hosts[(i+n)%2], key, reference)
+				if a.status == http.StatusCreated {
+					answered.Add(1)
+				}
+				s.checkOnce(t, reference, a)
+			})
+		}
+	}
+	senders.Wait()
+	close(stop)
+	faults.Wait()
+	for _, h := range hosts {
+		s.served(h, key)
+	}
+	for i := range 40 {
+		reference := fmt.Sprintf("fault-%d", i)
+		s.checkOnce(t, reference, s.book(hosts[i%2], key, reference))
+	}
+	s.eventually("a new booking runs", func() bool {
+		return s.book(hosts[0], key, fmt.Sprint("new-", time.Now().UnixNano())).status == http.StatusCreated
+	})
+	t.Logf("%d of 160 answered with the booking", answered.Load())
+}
+
+// harass freezes and kills hosts at random until stop is closed, then heals them.
+func (s *system) harass(stop chan struct{}, names []string) {
+	random := rand.New(rand.NewPCG(11, 12))
+	frozen := map[string]bool{}
+	heal := func(name string) {
+		if frozen[name] {
+			s.signal(name, syscall.SIGCONT)
+		}
+		frozen[name] = false
+	}
+	for {
+		select {
+		case <-stop:
+			for _, name := range names {
+				heal(name)
+			}
+			return
+		case <-time.After(time.Duration(200+random.IntN(400)) * time.Millisecond):
+		}
+		name := names[random.IntN(len(names))]
+		switch {
+		case frozen[name]:
+			heal(name)
+		case random.IntN(3) == 0:
+			s.kill(name)
+			s.start(name)
+		default:
+			s.signal(name, syscall.SIGSTOP)
+			frozen[name] = true
+		}
+	}
+}
