Write records in batches, and wait through the timer service

Cause: rewriting or learning many records synced each one by itself under the holder's lock: 100,000 records would have taken minutes. Some waiting bypassed the timer service. Ruled out: rewriting in the background (the order of frames matters).

Figures: no measurement of the old way was made; the number of syncs falls from one for each record to one for each 1,000. A test covers rewriting.

--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -24,8 +24,12 @@
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
-// Longest wait for a new key to work at every host.
-const keyWait = 3 * time.Second
+const (
+	// Longest wait for a new key to work at every host.
+	keyWait = 3 * time.Second
+	// Time between two looks at who lags.
+	lagPause = 100 * time.Millisecond
+)
 
 // operator is what the subcommands of trefoilctl share.
 type operator struct {
@@ -37,6 +41,7 @@
 	output   string
 	timeout  time.Duration
 
+	clock  timer.Service
 	client *proposer.Proposer
 	dialer *dialer.Dialer
 }
@@ -73,6 +78,7 @@
 	defer o.dialer.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
 	defer cancel()
+	go func() { _ = o.clock.Run(ctx) }()
 	err = actions[selected](ctx, o)
 	if errors.Is(err, proposer.ErrUnknown) {
 		fmt.Fprintf(stderr, "%s: %v\n", app.Name, err)
@@ -105,8 +111,10 @@
 	if err != nil {
 		return fmt.Errorf("operator token: %w", err)
 	}
-	o.dialer = &dialer.Dialer{Mutual: s.Mutual, Timer: &timer.Service{}}
-	o.client = &proposer.Proposer{Dialer: o.dialer, Controls: s.Controls, Token: strings.TrimSpace(string(token))}
+	o.dialer = &dialer.Dialer{Mutual: s.Mutual, Timer: &o.clock}
+	o.client = &proposer.Proposer{
+		Dialer: o.dialer, Controls: s.Controls, Token: strings.TrimSpace(string(token)), Timer: &o.clock,
+	}
 	return nil
 }
 
@@ -232,7 +240,11 @@
 	if err != nil || !wait {
 		return err
 	}
-	return waitInForce(ctx, o)
+	version, err := waitInForce(ctx, o)
+	if err == nil {
+		fmt.Fprintf(o.stdout, "in force everywhere: version %d\n", version)
+	}
+	return err
 }
 
 // warnLagging waits a little until a new key works everywhere, and names the hosts at
@@ -240,9 +252,7 @@
 func warnLagging(ctx context.Context, o *operator) {
 	ctx, cancel := context.WithTimeout(ctx, keyWait)
 	defer cancel()
-	quiet := *o
-	quiet.stdout = io.Discard
-	if err := waitInForce(ctx, &quiet); err != nil {
+	if _, err := waitInForce(ctx, o); err != nil {
 		fmt.Fprintf(o.stderr, "trefoilctl: the key is accepted but %v\n", err)
 	}
 }
@@ -250,22 +260,20 @@
 // errLagging says that some hosts do not have the newest configuration yet.
 var errLagging = errors.New("not in force everywhere")
 
-// waitInForce waits until every host reports the newest version, or names those that do not.
-func waitInForce(ctx context.Context, o *operator) error {
+// waitInForce waits until every host reports the newest version, and returns it, or names
+// the hosts that do not.
+func waitInForce(ctx context.Context, o *operator) (uint64, error) {
 	for {
 		state, err := o.newest(ctx)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		lagging := laggards(state)
 		if len(lagging) == 0 {
-			fmt.Fprintf(o.stdout, "in force everywhere: version %d\n", state.Version)
-			return nil
+			return state.Version, nil
 		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%w: %s", errLagging, strings.Join(lagging, ", "))
-		case <-time.After(100 * time.Millisecond):
+		if err := o.clock.Sleep(ctx, lagPause); err != nil {
+			return 0, fmt.Errorf("%w: %s", errLagging, strings.Join(lagging, ", "))
 		}
 	}
 }
--- a/internal/proposer/proposer.go
+++ b/internal/proposer/proposer.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -49,6 +50,7 @@
 	Controls []*schema.Control
 	// Token is an operator's token, or the hosts' secret.
 	Token string
+	Timer *timer.Service
 }
 
 // NewRequest returns a fresh request identity.
@@ -101,10 +103,8 @@
 				return fmt.Errorf("%w: %s", ErrRefused, status.Convert(err).Message())
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if err := p.Timer.Sleep(ctx, pause); err != nil {
 			return ErrUnknown
-		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/recorder/holder.go
+++ b/internal/recorder/holder.go
@@ -20,6 +20,8 @@
 	Retention = 24 * time.Hour
 	// Records in one reply to a survey.
 	surveyPage = 500
+	// Records written with one sync.
+	writeBatch = 1000
 	// Largest answer that is kept for resends, in bytes.
 	AnswerLimit = 64 << 10
 )
@@ -117,15 +119,20 @@
 	return h.write(&schema.Held{Region: region, Ready: g.version})
 }
 
-func (h *Holder) write(held *schema.Held) error {
-	if h.Journal == nil {
+// write makes entries of the journal durable, all or none.
+func (h *Holder) write(entries ...*schema.Held) error {
+	if h.Journal == nil || len(entries) == 0 {
 		return nil
 	}
-	b, err := proto.Marshal(held)
-	if err == nil {
-		err = h.Journal.Append(b)
+	var payloads [][]byte
+	for _, held := range entries {
+		b, err := proto.Marshal(held)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrDisk, err)
+		}
+		payloads = append(payloads, b)
 	}
-	if err != nil {
+	if err := h.Journal.Append(payloads...); err != nil {
 		return fmt.Errorf("%w: %w", ErrDisk, err)
 	}
 	return nil
@@ -259,13 +266,19 @@
 	return nil
 }
 
-// Prune forgets expired records and rewrites the journal without them.
+// Prune forgets expired records and rewrites the journal without them, if there were any.
 func (h *Holder) Prune() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Unix()
+	expired := 0
 	for _, g := range h.groups {
+		before := len(g.records)
 		maps.DeleteFunc(g.records, func(_ string, r *schema.Record) bool { return r.Expires < now })
+		expired += before - len(g.records)
+	}
+	if expired == 0 {
+		return nil
 	}
 	return h.rewrite()
 }
@@ -279,10 +292,8 @@
 		return err
 	}
 	for region, g := range h.groups {
-		for _, r := range g.records {
-			if err := h.write(&schema.Held{Region: region, Record: r}); err != nil {
-				return err
-			}
+		if err := h.writeRecords(region, slices.Collect(maps.Values(g.records))); err != nil {
+			return err
 		}
 		if err := h.noteReady(region, g); err != nil {
 			return err
@@ -291,6 +302,20 @@
 	return h.Journal.Drop(number)
 }
 
+// writeRecords writes many records with few syncs.
+func (h *Holder) writeRecords(region string, records []*schema.Record) error {
+	for batch := range slices.Chunk(records, writeBatch) {
+		var entries []*schema.Held
+		for _, r := range batch {
+			entries = append(entries, &schema.Held{Region: region, Record: r})
+		}
+		if err := h.write(entries...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Count returns the number of records held.
 func (h *Holder) Count() int {
 	h.mu.Lock()
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -382,3 +382,43 @@
 		t.Error("giving up one claim cleared another")
 	}
 }
+
+// TestPruneKeepsWhatHasNotExpired requires that a journal that was rewritten holds every
+// live record and no expired one, and that the holder is ready again at once.
+func TestPruneKeepsWhatHasNotExpired(t *testing.T) {
+	now := int64(1000)
+	folder := t.TempDir()
+	open := func() *Holder {
+		h := &Holder{Host: "a", Incarnation: 1, Unix: func() int64 { return now }, Journal: &journaler.Journal{Folder: folder}}
+		if err := h.Open(); err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	h := open()
+	for version := range uint64(2) {
+		if err := h.Configure(&schema.Group{Region: simRegion, Version: version + 1, Holders: []string{"a", "b"}[:version+1]}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range int64(100) {
+		q := &schema.ClaimRequest{Region: simRegion, Version: 2, Key: fmt.Appendf(nil, "key-%03d", i), Claim: fmt.Sprint(i), Expires: now + i}
+		if r, err := h.Claim(q); err != nil || !r.Accepted {
+			t.Fatalf("claim %d: %v, %v", i, r, err)
+		}
+	}
+	now += 40
+	if err := h.Prune(); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again := open()
+	if err := again.Configure(&schema.Group{Region: simRegion, Version: 2, Holders: []string{"a", "b"}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := again.Count(); got != 60 || again.Ready()[simRegion] != 2 {
+		t.Errorf("%d records, ready %v; want 60 and version 2", got, again.Ready())
+	}
+}
--- a/internal/recorder/survey.go
+++ b/internal/recorder/survey.go
@@ -109,16 +109,17 @@
 }
 
 func (h *Holder) becomeReady(region string, g *group) error {
+	var learnt []*schema.Record
 	for key, r := range g.survey.records {
-		old := g.records[key]
-		joined := join(old, r)
-		if joined == old {
-			continue
-		}
-		if err := h.write(&schema.Held{Region: region, Record: joined}); err != nil {
-			return err
+		if joined := join(g.records[key], r); joined != g.records[key] {
+			learnt = append(learnt, joined)
 		}
-		g.records[key] = joined
+	}
+	if err := h.writeRecords(region, learnt); err != nil {
+		return err
+	}
+	for _, r := range learnt {
+		g.records[string(r.Key)] = r
 	}
 	g.ready = true
 	g.survey = nil
--- a/internal/server/once.go
+++ b/internal/server/once.go
@@ -173,7 +173,7 @@
 		go func() { replies <- s.claimAt(ctx, holder, c.request) }()
 	}
 	t := &recorder.Tally{Holders: len(c.group.Holders), Version: c.group.Version, Claim: c.request.Claim}
-	defer time.AfterFunc(claimTimeout, cancel) // the slowest holder still gets to know
+	defer func() { s.Timer.Once(claimTimeout, cancel) }() // the slowest holder still gets to know
 	for range c.group.Holders {
 		t.Add(<-replies)
 		if v := t.Verdict(); v != recorder.Open {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,6 +43,8 @@
 	// Longest time that a stopping host waits for requests to finish.
 	drainLimit    = 10 * time.Minute
 	pruneInterval = 5 * time.Second
+	// Time that other processes get to end their calls after the last request has finished.
+	followersLimit = time.Second
 )
 
 // Server is one entry host. Set the exported fields, then call Run.
@@ -103,7 +105,7 @@
 	s.registrar.Changed = s.admitter.Wake
 	s.caller = &caller.Caller{Timer: s.Timer}
 	s.caller.Start(ctx)
-	s.proposer = &proposer.Proposer{Dialer: s.Dialer, Controls: s.Settings.Controls, Token: s.Settings.Secret}
+	s.proposer = &proposer.Proposer{Dialer: s.Dialer, Controls: s.Settings.Controls, Token: s.Settings.Secret, Timer: s.Timer}
 	s.limiter = s.newLimiter()
 }
 
@@ -239,11 +241,9 @@
 		close(stopped)
 	}()
 	// Followers hold their streams open for ever; what matters has finished above.
-	select {
-	case <-stopped:
-	case <-time.After(time.Second):
-		processes.Stop()
-	}
+	stop := s.Timer.Once(followersLimit, processes.Stop)
+	<-stopped
+	stop()
 	s.Log.Info().Msg("stopped")
 	return err
 }
