Split the loop over upstreams into tries that completions and services share

Cause: reading as a newcomer: one function of 50 lines chose, blamed, counted and retried, and stood twice.

Change: tries holds what a request has learnt of its upstreams; both loops use it. No change of behaviour is meant; the tests of streams, silence and bookings are the check.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -25,7 +25,7 @@
 	answerLimit  = 32 << 20
 )
 
-// errDelivered says that the answer broke off where it cannot be resumed.
+// errBroken says that the answer broke off where it cannot be resumed.
 var errBroken = errors.New("server: the answer broke off")
 
 // delivered is what the caller has got of a stream so far.
@@ -34,63 +34,86 @@
 	tokens int
 }
 
+// tries is what one request has learnt of the upstreams that it was tried on.
+type tries struct {
+	excluded map[string]bool
+	// stalled names the upstreams whose connection fell silent since one of theirs worked.
+	stalled map[string]bool
+	// idle counts the tries since one brought anything.
+	idle int
+}
+
+func newTries() *tries {
+	return &tries{excluded: map[string]bool{}, stalled: map[string]bool{}}
+}
+
+// note takes the outcome of a try. It reports whether the upstream is to be tried once more
+// on a new connection: the first connection that falls silent is blamed itself.
+func (t *tries) note(name string, err error, progressed bool) (again bool) {
+	t.idle++
+	if progressed {
+		t.idle = 0
+		delete(t.stalled, name)
+	}
+	if err == nil {
+		return false
+	}
+	if errors.Is(err, caller.ErrStalled) && !t.stalled[name] {
+		t.stalled[name] = true
+		return true
+	}
+	t.excluded[name] = true
+	return false
+}
+
 // attempt runs a request on one upstream after another until one gives the whole answer.
 // Completions may be repeated; a stream goes on after the tokens delivered already.
 func (s *Server) attempt(ctx context.Context, c *completion, out sink) error {
-	excluded, stalled := map[string]bool{}, map[string]bool{}
-	var last error
-	idle := 0 // attempts since one brought anything
-	for n := 0; idle < attemptLimit; n++ {
-		if n > 0 && !s.retries.take(s.Timer.Now()) {
-			break
-		}
-		before := c.delivered.tokens
+	t := newTries()
+	last := error(router.ErrNone)
+	for n := 0; t.idle < attemptLimit && s.mayTry(n); n++ {
 		choice, err := s.router.Pick(router.Request{
-			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, Prefix: c.prefix, Excluded: excluded,
+			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, Prefix: c.prefix, Excluded: t.excluded,
 		})
 		if err != nil {
-			if last == nil {
-				last = err
-			}
 			break
 		}
-		if n > 0 {
-			s.metrics.retries.Inc()
-		}
+		before := c.delivered.tokens
 		err = s.tryUpstream(ctx, c, choice, out)
-		if c.delivered.tokens > before {
-			delete(stalled, choice.Name) // a connection of it worked meanwhile
-		}
-		again := s.blameConnection(choice.Name, choice.Address, err, stalled)
-		choice.Done(outcome(ctx, err, again))
-		if err == nil {
-			s.retries.earn()
-			return nil
-		}
-		if ctx.Err() != nil || errors.Is(err, errCaller) || isFinal(err) {
+		again := t.note(choice.Name, err, c.delivered.tokens > before)
+		s.endTry(ctx, choice, err, again)
+		if err == nil || ctx.Err() != nil || errors.Is(err, errCaller) || isFinal(err) {
 			return err
 		}
 		last = err
-		idle++
-		if c.delivered.tokens > before {
-			idle = 0
-		}
-		s.metrics.attemptsFailed.Inc()
-		excluded[choice.Name] = !again
 	}
 	return last
 }
 
-// blameConnection reports whether an upstream is to be tried once more on a new connection:
-// the first that falls silent is blamed itself, and all that are idle are closed with it.
-func (s *Server) blameConnection(name, address string, err error, stalled map[string]bool) bool {
-	if !errors.Is(err, caller.ErrStalled) {
+// mayTry reports whether the n-th try is within the budget of retries.
+func (s *Server) mayTry(n int) bool {
+	if n == 0 {
+		return true
+	}
+	if !s.retries.take(s.Timer.Now()) {
 		return false
 	}
-	s.caller.Purge(address)
-	first := !stalled[name]
-	stalled[name] = true
-	return first
+	s.metrics.retries.Inc()
+	return true
+}
+
+// endTry gives the place at the upstream back and counts how the try ended. With a silent
+// connection all idle ones to the upstream are closed: they may be dead too.
+func (s *Server) endTry(ctx context.Context, u *router.Choice, err error, again bool) {
+	u.Done(outcome(ctx, err, again))
+	if err == nil {
+		s.retries.earn()
+		return
+	}
+	s.metrics.attemptsFailed.Inc()
+	if errors.Is(err, caller.ErrStalled) {
+		s.caller.Purge(u.Address)
+	}
 }
 
 // outcome tells the router how an attempt ended. again: only a connection is to blame.
--- a/internal/server/capacity_test.go
+++ b/internal/server/capacity_test.go
@@ -54,7 +54,7 @@
 			return
 		}
 		defer answer.Close()
-		if err := s.relayStream(c, answer, &httpSink{w: w, stream: true}); err != nil {
+		if err := s.relayStream(c, answer, &httpSink{w: w}); err != nil {
 			b.Error(err)
 		}
 	}))
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -81,7 +81,7 @@
 	defer cancel()
 	ctx, done := s.running.add(ctx, id.hash)
 	defer done()
-	out := &httpSink{w: w, stream: c.stream}
+	out := &httpSink{w: w}
 	err = s.ended(ctx, s.complete(ctx, c, id.customer, out))
 	s.account(c, id.customer, err)
 	if err != nil {
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -206,32 +206,20 @@
 
 // repeatPlain runs a call that may be repeated, on one upstream after another.
 func (s *Server) repeatPlain(ctx context.Context, p *plainCall) (*plainAnswer, error) {
-	excluded, stalled := map[string]bool{}, map[string]bool{}
-	var last error
-	for n := range attemptLimit {
-		if n > 0 && !s.retries.take(s.Timer.Now()) {
-			break
-		}
-		choice, err := s.router.Pick(router.Request{Kind: schema.UpstreamKind_UPSTREAM_SERVICE, Pool: p.route.Name, Excluded: excluded})
+	t := newTries()
+	last := error(router.ErrNone)
+	for n := 0; t.idle < attemptLimit && s.mayTry(n); n++ {
+		choice, err := s.router.Pick(router.Request{Kind: schema.UpstreamKind_UPSTREAM_SERVICE, Pool: p.route.Name, Excluded: t.excluded})
 		if err != nil {
-			if last == nil {
-				last = err
-			}
 			break
 		}
 		answer, err := s.callPlain(ctx, p, choice, false)
-		again := s.blameConnection(choice.Name, choice.Address, err, stalled)
-		choice.Done(outcome(ctx, err, again))
-		if err == nil {
-			s.retries.earn()
-			return answer, nil
-		}
-		if ctx.Err() != nil {
-			return nil, err
+		again := t.note(choice.Name, err, false)
+		s.endTry(ctx, choice, err, again)
+		if err == nil || ctx.Err() != nil {
+			return answer, err
 		}
 		last = err
-		s.metrics.attemptsFailed.Inc()
-		excluded[choice.Name] = !again
 	}
 	return nil, last
 }
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -21,9 +21,7 @@
 // httpSink answers a caller over HTTP.
 type httpSink struct {
 	w       http.ResponseWriter
-	stream  bool
 	started bool
-	ended   bool
 	buffer  []byte
 }
 
@@ -51,13 +49,11 @@
 }
 
 func (o *httpSink) end() error {
-	o.ended = true
 	return o.event([]byte("[DONE]"), true)
 }
 
 func (o *httpSink) whole(body []byte) error {
 	o.start("application/json")
-	o.ended = true
 	_, err := o.w.Write(body)
 	return err
 }
