Wait for the holder that keeps an answer when a witness replies first

Cause: any holder's word that a call ran ended the count, so a resend whose first reply came from a witness was answered answer_lost although another holder had the answer. Found by reading; the test failed before (verdict taken after the witness) and passes now.

--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -422,3 +422,25 @@
 		t.Errorf("%d records, ready %v; want 60 and version 2", got, again.Ready())
 	}
 }
+
+// TestAnswerOfAHolderBeforeThatOfAWitness requires that a resend waits for the holder that
+// keeps the answer when a witness, which does not, replies first.
+func TestAnswerOfAHolderBeforeThatOfAWitness(t *testing.T) {
+	done := &schema.Record{Key: []byte("pew"), Claim: "first", State: schema.RecordState_RECORD_DONE, Status: 201, Type: "application/json"}
+	tally := &Tally{Holders: 3, Version: 3, Claim: "second"}
+	tally.Add(&schema.ClaimReply{Holder: "witness", Ready: true, Version: 3, Record: Witnessed(done)})
+	if v := tally.Verdict(); v != Open {
+		t.Errorf("after the witness: verdict %d", v)
+	}
+	tally.Add(&schema.ClaimReply{Holder: "a", Ready: true, Version: 3, Record: done})
+	if v := tally.Verdict(); v != Taken || tally.Record().Status != 201 {
+		t.Errorf("after the holder: verdict %d, record %v", v, tally.Record())
+	}
+	lost := &Tally{Holders: 3, Version: 3, Claim: "second"}
+	lost.Add(&schema.ClaimReply{Holder: "witness", Ready: true, Version: 3, Record: Witnessed(done)})
+	lost.Add(nil)
+	lost.Add(nil)
+	if v := lost.Verdict(); v != Taken {
+		t.Errorf("when no holder answers: verdict %d", v)
+	}
+}
--- a/internal/recorder/tally.go
+++ b/internal/recorder/tally.go
@@ -49,7 +49,12 @@
 
 // Verdict returns what the replies so far come to.
 func (t *Tally) Verdict() Verdict {
+	left := t.Holders - len(t.replies) - t.failures
 	if t.record != nil && t.record.State == schema.RecordState_RECORD_DONE {
+		// A witness has no answer to give; another holder may.
+		if t.record.Status == 0 && left > 0 {
+			return Open
+		}
 		return Taken
 	}
 	valid := 0
@@ -61,7 +66,7 @@
 	if valid >= Quorum(t.Holders) {
 		return Granted
 	}
-	if valid+t.Holders-len(t.replies)-t.failures >= Quorum(t.Holders) {
+	if valid+left >= Quorum(t.Holders) {
 		return Open
 	}
 	if t.record != nil {
