--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -41,7 +41,7 @@
 // Daemon runs trefoild and returns its exit status.
 func Daemon(args []string, stdout, stderr io.Writer) int {
 	app := kingpin.New("trefoild", "The daemon: one process of a role.")
-	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
+	app.UsageWriter(stdout).ErrorWriter(stderr)
 	entry := app.Command("entry", "Serve callers.")
 	entryFile := entry.Flag("settings", "Settings file.").Required().String()
 	entryCheck := entry.Flag("check", "Check the settings and exit.").Bool()
@@ -71,7 +71,7 @@
 	return report(stderr, app.Name, err)
 }
 
-// usage reports a bad command line. Kingpin has printed help already if that was asked for.
+// usage reports a bad command line. Where help is asked for, kingpin prints it and exits.
 func usage(stderr io.Writer, app *kingpin.Application, err error) int {
 	fmt.Fprintf(stderr, "%s: %v, try --help\n", app.Name, err)
 	return exitUsage
--- a/internal/command/fake.go
+++ b/internal/command/fake.go
@@ -18,9 +18,9 @@
 )
 
 // Fake runs trefoilfake, the stand-ins for upstreams, and returns its exit status.
-func Fake(args []string, _, stderr io.Writer) int {
+func Fake(args []string, stdout, stderr io.Writer) int {
 	app := kingpin.New("trefoilfake", "Stand-ins for upstreams.")
-	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
+	app.UsageWriter(stdout).ErrorWriter(stderr)
 	name := app.Flag("name", "Name.").Required().String()
 	region := app.Flag("region", "Region.").Required().String()
 	listen := app.Flag("listen", "IP and port.").Required().String()
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -18,7 +18,7 @@
 // Load runs trefoilload and returns its exit status.
 func Load(args []string, stdout, stderr io.Writer) int {
 	app := kingpin.New("trefoilload", "Sends an open load and reports what callers see.")
-	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
+	app.UsageWriter(stdout).ErrorWriter(stderr)
 	hosts := app.Flag("hosts", "Entry hosts, separated by commas.").Required().String()
 	model := app.Flag("model", "Model.").Default(demoModel).String()
 	duration := app.Flag("duration", "How long to send.").Default("10s").Duration()
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -53,7 +53,7 @@
 // 2 bad command line, 3 outcome unknown.
 func Operator(args []string, stdout, stderr io.Writer) int {
 	app := kingpin.New("trefoilctl", "The operators' command-line client.")
-	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
+	app.UsageWriter(stdout).ErrorWriter(stderr)
 	o := &operator{stdout: stdout, stderr: stderr}
 	app.Flag("settings", "Settings file that names the control hosts.").Envar("TREFOIL_SETTINGS").Required().StringVar(&o.settings)
 	app.Flag("token-file", "File that holds the operator's token.").Envar("TREFOIL_TOKEN").StringVar(&o.token)
