Do not take an older announcement for news when a request ends under it

Cause: a request that ended looked its upstream up under the announcement of its beginning; that counted as a new report, and the next look at the newest one as another, which took the host's own work of that moment as reported. Others' work was overrated after every end. Found by a new test that own work counts once: 4 of 8 slots free where all were. Ruled out: the test's reports at one instant (apart by 1 ms it failed the same way).

Change: only a later announcement is news.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -230,7 +230,7 @@
 		l = &local{service: defaultService}
 		r.local[u.Name] = l
 	}
-	if l.reported != u.Heard {
+	if u.Heard > l.reported { // a request may end under an older announcement
 		l.reported, l.own = u.Heard, l.outstanding
 	}
 	return l
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -124,7 +124,7 @@
 	p := newPool()
 	p.announce(&schema.Announcement{Name: "u", Models: []string{"m"}, Slots: 8})
 	r := p.router(nil)
-	r.Hosts = func() int { return 2 }
+	r.Hosts = func() int { return 4 } // an equal part would be 2
 	for range 8 {
 		if _, err := r.Pick(anyModel); err != nil {
 			t.Fatal(err)
@@ -133,6 +133,7 @@
 	if got := r.Capacity("model/m"); got != 8 {
 		t.Errorf("alone: capacity %d, want 8", got)
 	}
+	p.clock.Advance(time.Millisecond)
 	p.announce(&schema.Announcement{Name: "u", Models: []string{"m"}, Slots: 8, Running: 8, Waiting: 4})
 	if got := r.Capacity("model/m"); got != 4 {
 		t.Errorf("with 4 requests of another host: capacity %d, want 4", got)
@@ -295,3 +296,30 @@
 		})
 	}
 }
+
+// TestOwnWorkCountedOnce requires that a report that includes this host's own requests does
+// not make them count twice, and that what has ended since counts no more.
+func TestOwnWorkCountedOnce(t *testing.T) {
+	p := newPool()
+	p.announce(&schema.Announcement{Name: "u", Models: []string{"m"}, Slots: 8})
+	r := p.router(nil)
+	var mine []*Choice
+	for range 4 {
+		u, err := r.Pick(anyModel)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mine = append(mine, u)
+	}
+	p.clock.Advance(time.Millisecond)
+	p.announce(&schema.Announcement{Name: "u", Models: []string{"m"}, Slots: 8, Running: 4})
+	if _, free, _ := r.Forecast(anyModel.Kind, "m"); free != 4 || r.Capacity("model/m") != 8 {
+		t.Errorf("with 4 own requests reported: %d free, capacity %d", free, r.Capacity("model/m"))
+	}
+	for _, u := range mine {
+		u.Done(Finished)
+	}
+	if _, free, _ := r.Forecast(anyModel.Kind, "m"); free != 8 {
+		t.Errorf("after they ended: %d free", free)
+	}
+}
