--- /dev/null
+++ b/internal/allocator/allocator.go
@@ -0,0 +1,185 @@
+package allocator
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// Lease is the time for which a part is good. Long enough to outlive an election.
+	Lease = 4 * time.Second
+	// Quiet is the time for which a new leader gives nothing. It may be shorter than Lease
+	// by the election timeout, since the earlier leader had stopped giving by then.
+	Quiet = 3 * time.Second
+	// Part of the rate that is divided evenly among the hosts, whatever they ask, so that
+	// a customer's first request finds tokens.
+	evenPart = 0.2
+	// Time after which a host that reports no more is no longer given parts.
+	hostTimeout = 5 * time.Second
+)
+
+// Terms are a customer's limits, tokens a second and tokens. Rate 0: no limit.
+type Terms struct {
+	Rate  float64
+	Burst float64
+}
+
+// Allocator divides. Set the exported fields, then call Start when this host begins to lead.
+type Allocator struct {
+	Now   func() time.Duration
+	Terms func(customer string) (Terms, bool)
+
+	mu     sync.Mutex
+	since  time.Duration                 // when this host began to lead; guarded by mu
+	number uint64                        // guarded by mu
+	hosts  map[string]*host              // guarded by mu
+	given  map[string]map[string][]grant // customer → host → grants that may be in use; guarded by mu
+	asked  map[string]map[string]float64 // customer → host → tokens a second; guarded by mu
+}
+
+type host struct {
+	incarnation uint64
+	heard       time.Duration
+}
+
+// grant is a part of a customer's rate that a host may be using.
+type grant struct {
+	number uint64
+	rate   float64
+	until  time.Duration
+}
+
+// Start forgets everything: this host has just begun to lead.
+func (a *Allocator) Start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.since = a.Now()
+	a.hosts = map[string]*host{}
+	a.given = map[string]map[string][]grant{}
+	a.asked = map[string]map[string]float64{}
+	a.number = uint64(a.since)
+}
+
+// Divide takes a host's report and returns its part of each customer's limits that it asks
+// for. Nil: nothing may be given yet.
+func (a *Allocator) Divide(p *schema.Peer) *schema.Allotment {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	a.note(p, now)
+	if a.hosts == nil || now-a.since < Quiet {
+		return nil
+	}
+	a.number++
+	out := &schema.Allotment{
+		Host: p.Name, Incarnation: p.Incarnation, Number: a.number, Lease: int64(Lease), Hosts: int32(len(a.hosts)),
+	}
+	for _, d := range p.Demands {
+		if share := a.share(p.Name, d.Customer, now); share != nil {
+			out.Shares = append(out.Shares, share)
+		}
+	}
+	return out
+}
+
+// note stores what a host asks and uses.
+func (a *Allocator) note(p *schema.Peer, now time.Duration) {
+	if a.hosts == nil {
+		return
+	}
+	h := a.hosts[p.Name]
+	if h == nil {
+		h = &host{}
+		a.hosts[p.Name] = h
+	}
+	h.incarnation, h.heard = p.Incarnation, now
+	for name, other := range a.hosts {
+		if now-other.heard > hostTimeout {
+			delete(a.hosts, name)
+			a.forget(name)
+		}
+	}
+	for _, asked := range a.asked {
+		delete(asked, p.Name)
+	}
+	for _, d := range p.Demands {
+		if a.asked[d.Customer] == nil {
+			a.asked[d.Customer] = map[string]float64{}
+		}
+		a.asked[d.Customer][p.Name] = d.Rate
+	}
+	for customer, hosts := range a.given {
+		hosts[p.Name] = current(hosts[p.Name], p.Allotment, now)
+		if len(hosts[p.Name]) == 0 {
+			delete(hosts, p.Name)
+		}
+		if len(hosts) == 0 {
+			delete(a.given, customer)
+		}
+	}
+}
+
+func (a *Allocator) forget(name string) {
+	for _, asked := range a.asked {
+		delete(asked, name)
+	}
+}
+
+// current drops the grants that have ended or that a newer one has replaced.
+func current(grants []grant, inUse uint64, now time.Duration) []grant {
+	var kept []grant
+	for _, g := range grants {
+		if g.until > now && g.number >= inUse {
+			kept = append(kept, g)
+		}
+	}
+	return kept
+}
+
+// share returns a host's part of one customer's limits and counts it as given.
+func (a *Allocator) share(name, customer string, now time.Duration) *schema.Share {
+	terms, known := a.Terms(customer)
+	if !known || terms.Rate <= 0 {
+		return nil
+	}
+	others := 0.0
+	for other, grants := range a.given[customer] {
+		if other != name {
+			others += largest(grants, now)
+		}
+	}
+	wanted := terms.Rate * a.fraction(name, customer)
+	rate := math.Max(0, math.Min(wanted, terms.Rate-others))
+	if a.given[customer] == nil {
+		a.given[customer] = map[string][]grant{}
+	}
+	a.given[customer][name] = append(a.given[customer][name], grant{number: a.number, rate: rate, until: now + Lease})
+	return &schema.Share{Customer: customer, Rate: rate, Burst: terms.Burst * rate / terms.Rate}
+}
+
+// fraction is the part of the rate that a host should have: a little whatever it asks, the
+// rest by what it asks.
+func (a *Allocator) fraction(name, customer string) float64 {
+	sum := 0.0
+	for _, rate := range a.asked[customer] {
+		sum += rate
+	}
+	even := evenPart / float64(max(1, len(a.asked[customer])))
+	if sum <= 0 {
+		return even
+	}
+	return even + (1-evenPart)*a.asked[customer][name]/sum
+}
+
+func largest(grants []grant, now time.Duration) float64 {
+	most := 0.0
+	for _, g := range grants {
+		if g.until > now {
+			most = math.Max(most, g.rate)
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/allocator/bucket.go
@@ -0,0 +1,205 @@
+package allocator
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// Part of a customer's limits that the hosts of an unknown number may spend without a
+	// part from the leader, each an equal share of it.
+	floorPart = 0.2
+	// Number of hosts assumed before the leader has told.
+	assumedHosts = 8
+	// Weight of the newest interval in the average of what callers ask.
+	askWeight = 0.4
+	// Time after which a customer that asks nothing is forgotten.
+	idleTime = 10 * time.Second
+)
+
+// Errors of spending.
+var (
+	// ErrOver says that the customer is over its rate.
+	ErrOver = errors.New("allocator: over the customer's rate")
+)
+
+// Over is ErrOver with the time until the tokens would be there.
+type Over struct {
+	Customer string
+	// Retry is when to come back.
+	Retry time.Duration
+}
+
+// Error returns the customer and the time to wait.
+func (o *Over) Error() string {
+	return fmt.Sprintf("customer %q is over its rate for %v", o.Customer, o.Retry)
+}
+
+// Unwrap makes an Over an ErrOver.
+func (o *Over) Unwrap() error { return ErrOver }
+
+// Bucket spends one host's parts of all customers' limits. Set the exported fields before
+// use.
+type Bucket struct {
+	Now   func() time.Duration
+	Terms func(customer string) (Terms, bool)
+
+	mu        sync.Mutex
+	hosts     int                 // guarded by mu
+	number    uint64              // of the newest allotment in use; guarded by mu
+	customers map[string]*account // guarded by mu
+}
+
+// account is one customer's tokens at this host. The level may be below zero by one
+// request, so that a small part can serve a request larger than itself.
+type account struct {
+	level float64
+	at    time.Duration
+	// rate and burst are this host's part, good until the end of its lease.
+	rate, burst float64
+	until       time.Duration
+	// asked are tokens asked for since the last report, pace their average a second.
+	asked float64
+	pace  float64
+	paced time.Duration
+	used  time.Duration
+}
+
+// Take charges a request's tokens, or returns an Over. It reports the level after that.
+func (b *Bucket) Take(customer string, tokens float64) (float64, error) {
+	terms, known := b.Terms(customer)
+	if !known || terms.Rate <= 0 {
+		return math.Inf(1), nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	a := b.account(customer, terms, now)
+	a.asked += tokens
+	a.used = now
+	rate, burst := b.part(a, terms, now)
+	if a.level < math.Min(tokens, burst)*admitPart {
+		missing := math.Min(tokens, burst)*admitPart - a.level
+		return a.level, &Over{Customer: customer, Retry: waitFor(missing, rate)}
+	}
+	a.level -= tokens
+	return a.level, nil
+}
+
+// Part of a request's tokens that must be there for it to be admitted; the rest is a debt.
+const admitPart = 0.25
+
+// Longest time that a caller is told to wait for tokens.
+const longestRetry = 10 * time.Second
+
+func waitFor(missing, rate float64) time.Duration {
+	if rate <= 0 {
+		return longestRetry
+	}
+	return min(longestRetry, time.Duration(missing/rate*float64(time.Second)))
+}
+
+// Refund gives back the tokens of a request that did not run.
+func (b *Bucket) Refund(customer string, tokens float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a := b.customers[customer]; a != nil {
+		a.level += tokens
+	}
+}
+
+// Grant puts an allotment in force, which was asked for at a time of this host's clock.
+func (b *Bucket) Grant(g *schema.Allotment, asked time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g == nil || g.Number <= b.number {
+		return
+	}
+	now := b.Now()
+	b.number = g.Number
+	b.hosts = int(g.Hosts)
+	until := asked + time.Duration(g.Lease)
+	for _, s := range g.Shares {
+		terms, known := b.Terms(s.Customer)
+		if !known {
+			continue
+		}
+		a := b.account(s.Customer, terms, now)
+		a.rate, a.burst, a.until = s.Rate, s.Burst, until
+	}
+}
+
+// Report returns what callers asked for since the last report, as tokens a second, and the
+// number of the allotment in use.
+func (b *Bucket) Report() ([]*schema.Demand, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	var demands []*schema.Demand
+	for name, a := range b.customers {
+		if d := (now - a.paced).Seconds(); d > 0 {
+			a.pace += askWeight * (a.asked/d - a.pace)
+			a.asked, a.paced = 0, now
+		}
+		if now-a.used > idleTime && now > a.until {
+			delete(b.customers, name)
+			continue
+		}
+		demands = append(demands, &schema.Demand{Customer: name, Rate: a.pace})
+	}
+	return demands, b.number
+}
+
+// account returns a customer's account, filled up to now. A new one begins empty but for
+// its floor's burst, since an earlier process of this host may have spent the rest.
+func (b *Bucket) account(customer string, terms Terms, now time.Duration) *account {
+	if b.customers == nil {
+		b.customers = map[string]*account{}
+	}
+	a := b.customers[customer]
+	if a == nil {
+		a = &account{at: now, paced: now, used: now}
+		_, a.level = b.part(a, terms, now)
+		b.customers[customer] = a
+		return a
+	}
+	a.fill(b, terms, now)
+	return a
+}
+
+// fill adds what came in since the last time, by the part that was in force.
+func (a *account) fill(b *Bucket, terms Terms, now time.Duration) {
+	split := min(max(a.at, a.until), now)
+	if split > a.at {
+		rate, burst := b.part(a, terms, a.at)
+		a.add(rate, burst, split-a.at)
+	}
+	if now > split {
+		rate, burst := b.part(a, terms, now)
+		a.add(rate, burst, now-split)
+	}
+	a.at = now
+}
+
+func (a *account) add(rate, burst float64, d time.Duration) {
+	a.level = math.Min(burst, a.level+rate*d.Seconds())
+}
+
+// part returns the rate and burst that this host may spend at a time: its lease, or an
+// equal share of the floor.
+func (b *Bucket) part(a *account, terms Terms, at time.Duration) (rate, burst float64) {
+	if at < a.until {
+		return a.rate, a.burst
+	}
+	hosts := float64(max(b.hosts, 1))
+	if b.hosts == 0 {
+		hosts = assumedHosts
+	}
+	share := floorPart / hosts
+	return terms.Rate * share, terms.Burst * share
+}
--- a/internal/configurer/sheet.go
+++ b/internal/configurer/sheet.go
@@ -72,6 +72,11 @@
 
 // Diff returns the items by which a sheet's full statement differs from a snapshot.
 func Diff(s *Snapshot, stated []*schema.Item) []*schema.Item {
+	return diffKinds(s, stated, sheetKinds)
+}
+
+// diffKinds returns the items by which a full statement of some kinds differs from a snapshot.
+func diffKinds(s *Snapshot, stated []*schema.Item, kinds []string) []*schema.Item {
 	var changed []*schema.Item
 	named := map[string]bool{}
 	for _, it := range stated {
@@ -80,7 +85,7 @@
 			changed = append(changed, it)
 		}
 	}
-	for _, kind := range sheetKinds {
+	for _, kind := range kinds {
 		for _, p := range s.Paths(kind) {
 			if !named[p] {
 				changed = append(changed, &schema.Item{Path: p, Removed: true})
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -15,6 +15,8 @@
 	answerLimit = 20_000
 	// Changes that the history keeps.
 	historyLimit = 2_000
+	// Path under which a saved state holds the newest document's source.
+	sourcePath = "source"
 )
 
 // State is the configuration as a control host holds it. Set nothing; call New or Load.
@@ -23,6 +25,7 @@
 	answers  map[string]*schema.Answer
 	order    []string
 	history  []*schema.Change
+	document *schema.Document // newest document as it was sent; nil: none
 }
 
 // New returns an empty configuration.
@@ -46,6 +49,10 @@
 			s.history = append(s.history, c)
 			continue
 		}
+		if it.Path == sourcePath {
+			s.document = it.GetDocument()
+			continue
+		}
 		items = append(items, it)
 	}
 	m.Items = items
@@ -62,6 +69,9 @@
 	for _, c := range s.history {
 		m.Items = append(m.Items, &schema.Item{Path: fmt.Sprintf("change/%020d", c.Version), Value: &schema.Item_Change{Change: c}})
 	}
+	if s.document != nil {
+		m.Items = append(m.Items, &schema.Item{Path: sourcePath, Value: &schema.Item_Document{Document: s.document}})
+	}
 	for _, request := range s.order {
 		m.Answers = append(m.Answers, s.answers[request])
 	}
@@ -131,6 +141,10 @@
 		items, refusal = s.activateHosts(op.Activate)
 	case *schema.Command_Group:
 		items, refusal = s.setGroup(op.Group)
+	case *schema.Command_Document:
+		items, refusal = s.applyDocument(op.Document)
+	case *schema.Command_Evacuate:
+		items, refusal = s.evacuate(op.Evacuate)
 	case *schema.Command_Epoch:
 		return s.done(), nil
 	default:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,8 @@
 	tickInterval   = 50 * time.Millisecond
 	electionTicks  = 20
 	heartbeatTicks = 3
+	// Most ticks made up for at once: enough to end every lease and election.
+	longestCatchUp = 5 * electionTicks
 	// Applied entries between two snapshots.
 	snapshotEntries = 5_000
 	// Time between two looks at what the leader has to put right.
@@ -46,6 +49,8 @@
 	Dialer      *dialer.Dialer
 	Distributor *distributor.Distributor
 	Log         zerolog.Logger
+	// Cluster is set where control hosts find each other; nil: operators change the members.
+	Cluster *Cluster
 
 	name    string
 	metrics *metrics
@@ -56,8 +61,12 @@
 	room      uint64
 	roomSince time.Duration
 
+	// view is what others may read without mu.
+	view atomic.Pointer[view]
+
 	// mu guards the fields below; it is held while a step's output is synced.
 	mu       sync.Mutex
+	ticked   time.Duration // boot time up to which the replica's clock has advanced
 	replica  *replicator.Replica
 	state    *configurer.State
 	applied  uint64
@@ -97,6 +106,8 @@
 		Random: rand.IntN, Capture: c.capture,
 	}
 	c.replica.Start(stored)
+	c.ticked = c.Timer.Now()
+	c.publishView()
 	c.senders = senders{
 		dialer: c.Dialer, timer: c.Timer, lost: c.metrics.lost, id: identity.Id, address: c.Settings.Internal,
 	}
@@ -110,6 +121,11 @@
 	defer stopTicks()
 	stopReconcile := c.Timer.Every(reconcileInterval, c.reconcile)
 	defer stopReconcile()
+	if c.Cluster != nil {
+		background, stop := context.WithCancel(ctx)
+		defer stop()
+		c.Cluster.start(background, c)
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -121,17 +137,28 @@
 }
 
 func (c *Controller) tick() {
-	c.step(func(r *replicator.Replica) { r.Tick() })
+	c.step(func(*replicator.Replica) {})
 }
 
 // step runs f on the replica and does what its output asks.
 func (c *Controller) step(f func(*replicator.Replica)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.advance()
 	f(c.replica)
 	c.settle()
 }
 
+// advance brings the replica's clock up to the host's, so that a host that was frozen does
+// not rely on a lease that has ended meanwhile. The caller holds mu.
+func (c *Controller) advance() {
+	behind := c.Timer.Now() - c.ticked
+	for n := min(behind/tickInterval, longestCatchUp); n > 0; n-- {
+		c.replica.Tick()
+	}
+	c.ticked += behind / tickInterval * tickInterval
+}
+
 // settle syncs, sends and applies until the replica has nothing more to do. The caller
 // holds mu. After a disk error the replica stays silent: it must not promise anything.
 func (c *Controller) settle() {
@@ -156,6 +183,7 @@
 		}
 	}
 	c.noteRole()
+	c.publishView()
 	c.maybeCompact()
 }
 
@@ -237,6 +265,9 @@
 	if role == c.lastRole {
 		return
 	}
+	if c.Cluster != nil && role == replicator.Leader {
+		c.Cluster.Allocator.Start()
+	}
 	if role == replicator.Leader || c.lastRole == replicator.Leader {
 		c.Log.Info().Bool("leader", role == replicator.Leader).Uint64("term", term).Msg("leadership changed")
 	}
@@ -313,6 +344,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.advance()
 	if c.broken {
 		return ErrNotLeader
 	}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -69,6 +69,7 @@
 // holders of records.
 func (c *Controller) reconcile() {
 	c.mu.Lock()
+	c.advance()
 	role, term, _ := c.replica.Role()
 	leads := role == replicator.Leader && c.replica.LeaseTicks() > 0
 	snapshot := c.state.Snapshot()
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -94,6 +94,7 @@
 func (c *Controller) describe() *schema.StateReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.advance()
 	role, term, leader := c.replica.Role()
 	reply := &schema.StateReply{
 		Name: c.name, Id: c.replica.ID, Term: term, Commit: c.replica.Commit(), Last: c.replica.Last(),
@@ -131,7 +132,7 @@
 		case r.Add != nil:
 			err = replica.AddLearner(r.Add)
 		case r.Promote != 0:
-			err = replica.Promote(r.Promote)
+			err = replica.Promote(r.Promote, 0)
 		case r.Remove != 0:
 			err = replica.Remove(r.Remove)
 		}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -116,6 +116,19 @@
 	return nil
 }
 
+// Lacking returns what a follower at a version and hash needs: nothing, deltas, or the
+// whole configuration.
+func (d *Distributor) Lacking(version uint64, hash []byte) (*schema.Snapshot, []*schema.Delta) {
+	current, deltas, _ := d.read(version)
+	switch {
+	case current.Version < version, current.Version == version && bytes.Equal(current.Hash, hash):
+		return nil, nil
+	case deltas == nil || current.Version == version || version == 0:
+		return current.Message(), nil
+	}
+	return nil, deltas
+}
+
 // Serve sends a follower what it lacks, then every change, until ctx ends or send fails.
 func (d *Distributor) Serve(ctx context.Context, r *schema.WatchRequest, send func(*schema.WatchReply) error) error {
 	version, hash := r.Version, r.Hash
--- /dev/null
+++ b/internal/forwarder/home.go
@@ -0,0 +1,59 @@
+package forwarder
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// homes returns the regions that may serve a request: those that both its route and its
+// customer allow. Nil means any; empty means none.
+func homes(route *schema.Route, customer *schema.Customer) []string {
+	a, b := route.Regions, customer.GetRegions()
+	switch {
+	case len(a) == 0 && len(b) == 0:
+		return nil
+	case len(a) == 0:
+		return b
+	case len(b) == 0:
+		return a
+	}
+	both := []string{}
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
+
+// allows reports whether a region may serve the request.
+func (r *Request) allows(region string) bool {
+	return r.regions == nil || slices.Contains(r.regions, region)
+}
+
+// remotes returns the other regions that may serve a request, the least loaded first.
+func (f *Forwarder) remotes(r *Request) []string {
+	type remote struct {
+		region string
+		load   float64
+	}
+	var all []remote
+	for _, d := range f.digests() {
+		if d.Region == f.Region || !r.allows(d.Region) {
+			continue
+		}
+		for _, p := range d.Routes {
+			if p.Name == r.pool && p.Slots > 0 {
+				all = append(all, remote{d.Region, float64(p.Running+p.Waiting) / float64(p.Slots)})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b remote) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.region, b.region)) })
+	var names []string
+	for _, x := range all {
+		names = append(names, x.region)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/forwarder/route.go
@@ -0,0 +1,50 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/trefoilloft/trefoilloft/internal/scheduler"
+)
+
+// serve runs a request in this region, or through a host of another one if this one may
+// not serve it or has no place.
+func (f *Forwarder) serve(ctx context.Context, r *Request, sink Sink, t *trace) error {
+	if !r.allows(f.Region) {
+		return f.serveElsewhere(ctx, r, sink, t, refuse(http.StatusServiceUnavailable, causeNoHome, missingRetry))
+	}
+	err := f.serveHere(ctx, r, sink, t)
+	if err == nil || r.relayed || r.sent > 0 || ctx.Err() != nil {
+		return err
+	}
+	if errors.Is(err, scheduler.ErrNone) || errors.Is(err, scheduler.ErrFull) {
+		return f.serveElsewhere(ctx, r, sink, t, err)
+	}
+	return err
+}
+
+// serveElsewhere passes a request to other regions, the least loaded first, until one has
+// a place. Without one it returns why.
+func (f *Forwarder) serveElsewhere(ctx context.Context, r *Request, sink Sink, t *trace, why error) error {
+	for _, region := range f.remotes(r) {
+		err := f.relay(ctx, region, r, sink, t)
+		if err == nil || r.unsure || errors.Is(err, errBegun) || ctx.Err() != nil {
+			return err
+		}
+		why = err
+	}
+	return why
+}
+
+// work returns what the scheduler decides by.
+func (r *Request) work(excluded map[string]bool) *scheduler.Work {
+	output := r.Output
+	if r.Hint > 0 {
+		output = min(output, r.Hint)
+	}
+	return &scheduler.Work{
+		Pool: r.pool, Parts: r.Parts, Input: r.Input, Output: output, Rank: r.rank,
+		Objective: r.objected, Deadline: r.end, Careful: !r.repeatable(), Excluded: excluded,
+	}
+}
--- a/internal/persister/store.go
+++ b/internal/persister/store.go
@@ -16,9 +16,11 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
+// IdentityFile is the name of the file that holds a folder's identity.
+const IdentityFile = "identity"
+
 const (
 	formatVersion = 1
-	identityFile  = "identity"
 	snapshotFile  = "snapshot"
 	logFolder     = "log"
 )
@@ -72,7 +74,7 @@
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		return fmt.Errorf("persister: %w", err)
 	}
-	path := filepath.Join(folder, identityFile)
+	path := filepath.Join(folder, IdentityFile)
 	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("%w: %s", ErrIdentity, folder)
 	}
@@ -104,7 +106,7 @@
 }
 
 func (s *Store) readIdentity() (*schema.Identity, error) {
-	b, err := journaler.ReadFile(filepath.Join(s.Folder, identityFile))
+	b, err := journaler.ReadFile(filepath.Join(s.Folder, IdentityFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("%w: %s", ErrNoIdentity, s.Folder)
 	}
@@ -122,7 +124,7 @@
 }
 
 func (s *Store) readState(identity *schema.Identity) (replicator.Stored, error) {
-	stored := replicator.Stored{Snapshot: &schema.LogSnapshot{Members: &schema.Members{Members: identity.Members}}}
+	stored := replicator.Stored{Snapshot: &schema.LogSnapshot{Members: &schema.Members{Members: identity.Members, Target: identity.Target}}}
 	b, err := journaler.ReadFile(filepath.Join(s.Folder, snapshotFile))
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return stored, err
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -159,6 +159,17 @@
 	return 0
 }
 
+// Silent returns how many ticks ago a member last answered; leader only.
+func (r *Replica) Silent(id uint64) int {
+	if p := r.peers[id]; p != nil && id != r.ID {
+		return r.now - p.heard
+	}
+	return 0
+}
+
+// Hears reports whether the replica leads, or heard from a leader within an election timeout.
+func (r *Replica) Hears() bool { return r.role == Leader || (r.leader != 0 && r.hearsLeader()) }
+
 // Tick advances the replica's clock by one.
 func (r *Replica) Tick() {
 	r.now++
@@ -199,13 +210,17 @@
 		}
 	}
 	next := proto.Clone(r.members).(*schema.Members)
-	next.Members = append(next.Members, &schema.Member{Id: m.Id, Name: m.Name, Address: m.Address})
+	learner := proto.Clone(m).(*schema.Member)
+	learner.Voter = false
+	next.Members = append(next.Members, learner)
 	return r.proposeMembers(next)
 }
 
-// Promote gives a vote to a learner that holds every committed entry.
-func (r *Replica) Promote(id uint64) error {
+// Promote gives a vote to a learner that holds every committed entry. The group's target
+// becomes target if that is larger.
+func (r *Replica) Promote(id uint64, target int32) error {
 	next := proto.Clone(r.members).(*schema.Members)
+	next.Target = max(next.Target, target)
 	for _, m := range next.Members {
 		if m.Id == id && !m.Voter && r.Match(id) >= r.commit {
 			m.Voter = true
@@ -220,7 +235,7 @@
 	if id == r.ID {
 		return ErrMember
 	}
-	next := &schema.Members{}
+	next := &schema.Members{Target: r.members.Target}
 	for _, m := range r.members.Members {
 		if m.Id != id {
 			next.Members = append(next.Members, m)
--- a/internal/replicator/replica_test.go
+++ b/internal/replicator/replica_test.go
@@ -235,7 +235,7 @@
 		members := m.r.Members().Members
 		for _, other := range members {
 			if !other.Voter {
-				_ = m.r.Promote(other.Id)
+				_ = m.r.Promote(other.Id, 0)
 			}
 		}
 		if len(members) < 5 && g.next < 12 {
--- /dev/null
+++ b/internal/scheduler/upstream.go
@@ -0,0 +1,391 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// Prompt tokens read in a second before any upstream of the pool was measured; the
+	// learned factor corrects it.
+	firstReadRate = 40_000
+	// Time from the decision to a first token besides reading, before any was measured.
+	firstOverhead = 30 * time.Millisecond
+	// Weight of a new sample in the learned factor.
+	learnWeight = 0.1
+	// Bounds of the learned factor.
+	slowest, fastest = 20.0, 0.2
+	// Part of an engine's memory that running requests may fill.
+	memoryPart = 0.92
+	// Requests beyond its slots that a plain service may hold, as a part of the slots.
+	serviceQueue = 0.5
+	// Weight of a failure in an upstream's failure rate.
+	failWeight = 0.25
+	// Failure rate above which careful work avoids an upstream.
+	carefulRate = 0.15
+	// Longest time for which an upstream that failed repeatedly is passed over.
+	longestBan = 4 * time.Second
+	firstBan   = 300 * time.Millisecond
+	// Part of a cold upstream's stated rate that is used.
+	coldPart = 0.85
+	// Time that a new owner of a cold upstream waits, so that the earlier one has stopped.
+	coldHandover = time.Second
+	// Part of the shared parts' cost that is assumed at the upstream that affinity prefers
+	// although this host does not know them to be cached there.
+	preferredPart = 0.5
+	// Part of its objective within which a request's first token must be expected for an
+	// upstream to take it while others wait.
+	roomPart = 0.8
+)
+
+// Outcome is how a request fared at an upstream.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered is a whole answer that is no failure.
+	Answered Outcome = iota
+	// Failed is an answer that says that the upstream failed, or none.
+	Failed
+	// Refused says that the upstream was full or leaving.
+	Refused
+	// Unreached says that no connection could be made.
+	Unreached
+	// Left says that the caller went away.
+	Left
+)
+
+// upstream is what this host knows of an upstream.
+type upstream struct {
+	said *schema.Announcement
+	// running, tokens and reading are this host's own requests, their tokens, and prompt
+	// tokens that are still to be read.
+	running int
+	tokens  int64
+	reading int64
+	// others are the same of other hosts, as last told.
+	otherRunning int
+	otherReading int64
+	// factor is how much longer first tokens take than predicted.
+	factor float64
+	// service is the average time of a plain answer.
+	service time.Duration
+	cache   cache
+	// failures is the rate of failures; banned is until when the upstream is passed over.
+	failures float64
+	streak   int
+	banned   time.Duration
+	// cold is until when it is cold; allowed is when the next request may go there.
+	cold    time.Duration
+	owned   time.Duration // since when this host owns it; 0: it does not
+	allowed time.Duration
+}
+
+// Update puts the upstreams of the region in place.
+func (s *Scheduler) Update(all []*schema.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstreams == nil {
+		s.upstreams = map[string]*upstream{}
+	}
+	now := s.Timer.Now()
+	named := map[string]bool{}
+	for _, a := range all {
+		named[a.Name] = true
+		u := s.upstreams[a.Name]
+		if u == nil || u.said.Incarnation != a.Incarnation {
+			fresh := &upstream{factor: 1}
+			if u != nil {
+				// Requests that run at the earlier process end on the old record.
+				fresh.otherRunning = u.otherRunning
+			}
+			u = fresh
+			s.upstreams[a.Name] = u
+		}
+		if u.said != a {
+			if a.Cold > 0 {
+				u.cold = max(u.cold, now+time.Duration((a.Cold-a.Age)*float64(time.Second)))
+			}
+			if u.said != nil && u.said.Silent && !a.Silent {
+				u.banned, u.streak = 0, 0
+			}
+			u.said = a
+		}
+	}
+	for name := range s.upstreams {
+		if !named[name] {
+			delete(s.upstreams, name)
+		}
+	}
+	for name, p := range s.pools {
+		if len(p.waiting) > 0 {
+			s.dispatch(name, now)
+		}
+	}
+}
+
+// Chill treats the upstreams of a failure domain as cold: they may have become so unseen.
+func (s *Scheduler) Chill(domain string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Timer.Now()
+	for _, u := range s.upstreams {
+		if u.said.Domain == domain {
+			u.cold = max(u.cold, now+s.warmup(u))
+		}
+	}
+}
+
+func (s *Scheduler) warmup(u *upstream) time.Duration {
+	return time.Duration(s.Config().Pool(u.said.Pool).GetWarmup() * float64(time.Second))
+}
+
+// Loads puts in place what other hosts have under way.
+func (s *Scheduler) Loads(loads []*schema.PoolLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		u.otherRunning, u.otherReading = 0, 0
+	}
+	for _, l := range loads {
+		for name, n := range l.Running {
+			if u := s.upstreams[name]; u != nil {
+				u.otherRunning = int(n)
+			}
+		}
+		for name, n := range l.Reading {
+			if u := s.upstreams[name]; u != nil {
+				u.otherReading = n
+			}
+		}
+	}
+}
+
+// Report returns what this host has under way, by pool.
+func (s *Scheduler) Report() []*schema.PoolLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sums := map[string]*schema.PoolLoad{}
+	of := func(pool string) *schema.PoolLoad {
+		if sums[pool] == nil {
+			sums[pool] = &schema.PoolLoad{Pool: pool, Running: map[string]int32{}, Reading: map[string]int64{}}
+		}
+		return sums[pool]
+	}
+	for name, u := range s.upstreams {
+		if u.running > 0 {
+			of(u.said.Pool).Running[name] = int32(u.running)
+		}
+		if u.reading > 0 {
+			of(u.said.Pool).Reading[name] = u.reading
+		}
+	}
+	for name, p := range s.pools {
+		if len(p.waiting) > 0 {
+			of(name).Waiting = int32(len(p.waiting))
+		}
+	}
+	var out []*schema.PoolLoad
+	for _, l := range sums {
+		out = append(out, l)
+	}
+	return out
+}
+
+// candidates returns the upstreams that may take work, the best group first: those without
+// trouble, else those that are silent or banned.
+func (s *Scheduler) candidates(w *Work, now time.Duration) []*upstream {
+	c := s.Config()
+	var good, careless, troubled []*upstream
+	for _, u := range s.upstreams {
+		a := u.said
+		if a.Pool != w.Pool || a.Leaving || a.Gone || w.Excluded[a.Name] || c.Evacuated(a.Domain) {
+			continue
+		}
+		switch {
+		case a.Silent || now < u.banned:
+			troubled = append(troubled, u)
+		case w.Careful && u.failures > carefulRate:
+			careless = append(careless, u)
+		default:
+			good = append(good, u)
+		}
+	}
+	switch {
+	case len(good) > 0:
+		return good
+	case len(careless) > 0:
+		return careless
+	}
+	return troubled
+}
+
+// option is one upstream with its prediction.
+type option struct {
+	upstream *upstream
+	expected time.Duration
+	uncached int64
+	cached   int64
+}
+
+// best returns the upstream that has room and the earliest expected first token, or nil.
+func (s *Scheduler) best(w *Work, candidates []*upstream, now time.Duration) *option {
+	var best *option
+	preferred := s.preferred(w, candidates)
+	for _, u := range candidates {
+		o := s.predict(w, u, u == preferred, now)
+		if o == nil {
+			continue
+		}
+		if best == nil || o.expected < best.expected {
+			best = o
+		}
+	}
+	return best
+}
+
+// preferred returns the upstream at which all hosts agree that a shared prompt should be
+// cached, nil without a shared part.
+func (s *Scheduler) preferred(w *Work, candidates []*upstream) *upstream {
+	if len(w.Parts) < 2 {
+		return nil
+	}
+	var best *upstream
+	most := uint64(0)
+	for _, u := range candidates {
+		if h := xxhash.Sum64String(w.Parts[len(w.Parts)-2].ID + "/" + u.said.Name); best == nil || h > most {
+			best, most = u, h
+		}
+	}
+	return best
+}
+
+// predict returns what to expect of an upstream, or nil if it has no room.
+func (s *Scheduler) predict(w *Work, u *upstream, preferred bool, now time.Duration) *option {
+	if !s.warmEnough(u, now) {
+		return nil
+	}
+	running := u.running + u.otherRunning
+	engine := s.Config().Pool(w.Pool).GetEngine()
+	if engine == nil {
+		return u.predictService(w, running)
+	}
+	if running >= int(engine.Slots) || !u.fits(w, engine, running) {
+		return nil
+	}
+	uncached, cached := u.cache.missing(w.Parts, w.Input)
+	cost := float64(uncached)
+	if preferred && uncached > 0 {
+		own := w.Parts[len(w.Parts)-1].Tokens
+		cost = float64(own) + math.Max(0, cost-float64(own))*preferredPart
+	}
+	backlog := float64(u.reading + u.otherReading)
+	read := time.Duration((cost + backlog) / firstReadRate * float64(time.Second))
+	expected := time.Duration(float64(firstOverhead+read) * u.factor)
+	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > room && w.Objective > now {
+		return nil
+	}
+	return &option{upstream: u, expected: expected, uncached: uncached, cached: cached}
+}
+
+func (u *upstream) predictService(w *Work, running int) *option {
+	slots := max(1, int(u.said.Slots))
+	if running >= slots+int(float64(slots)*serviceQueue) {
+		return nil
+	}
+	service := u.service
+	if service == 0 {
+		service = firstOverhead
+	}
+	queued := max(0, running+1-slots)
+	expected := service + service*time.Duration(queued)/time.Duration(slots)
+	// Among upstreams that would answer alike, the one with the fewest requests.
+	expected += time.Duration(running) * time.Millisecond
+	return &option{upstream: u, expected: time.Duration(float64(expected) * (1 + u.failures))}
+}
+
+// fits reports whether a request's tokens find memory beside those that run.
+func (u *upstream) fits(w *Work, engine *schema.Engine, running int) bool {
+	size := w.Input + w.Output
+	used := u.tokens
+	if u.running > 0 {
+		used = u.tokens * int64(running) / int64(u.running)
+	}
+	return running == 0 || float64(used+size) <= float64(engine.Tokens)*memoryPart
+}
+
+// warmEnough reports whether an upstream may get a request now, as far as coldness goes.
+func (s *Scheduler) warmEnough(u *upstream, now time.Duration) bool {
+	if now >= u.cold {
+		return true
+	}
+	if s.Owns != nil && !s.Owns(u.said.Name) {
+		u.owned = 0
+		return false
+	}
+	if u.owned == 0 {
+		u.owned = now
+		u.allowed = now + coldHandover
+	}
+	return now >= u.allowed
+}
+
+// place takes room for work at the best upstream, or returns nil.
+func (s *Scheduler) place(w *Work, candidates []*upstream, now time.Duration) *Place {
+	o := s.best(w, candidates, now)
+	if o == nil {
+		return nil
+	}
+	u := o.upstream
+	p := &Place{
+		Name: u.said.Name, Address: u.said.Address, Expected: o.expected, Cached: o.cached,
+		Running:   u.running + u.otherRunning,
+		scheduler: s, upstream: u, work: w, begun: now, reading: o.uncached,
+	}
+	if now < u.cold {
+		rate := s.Config().Pool(w.Pool).GetColdrate() * coldPart
+		u.allowed = now + time.Duration(float64(time.Second)/math.Max(rate, 0.1))
+	}
+	u.running++
+	u.tokens += w.Input + w.Output
+	u.reading += p.reading
+	u.cache.add(w.Parts, now, s.Config().Pool(w.Pool).GetEngine().GetTokens())
+	return p
+}
+
+// learn corrects the prediction by a first token that came after d.
+func (u *upstream) learn(p *Place, d time.Duration) {
+	if len(p.work.Parts) == 0 && p.work.Input == 0 {
+		if u.service == 0 {
+			u.service = d
+		}
+		u.service += time.Duration(learnWeight * float64(d-u.service))
+		return
+	}
+	if p.Expected <= 0 {
+		return
+	}
+	ratio := float64(d) / float64(p.Expected) * u.factor
+	u.factor = math.Min(slowest, math.Max(fastest, u.factor+learnWeight*(ratio-u.factor)))
+}
+
+// note counts an outcome.
+func (u *upstream) note(o Outcome, now time.Duration) {
+	switch o {
+	case Answered:
+		u.failures -= failWeight * u.failures
+		u.streak = 0
+	case Failed, Unreached:
+		u.failures += failWeight * (1 - u.failures)
+		u.streak++
+		if u.streak >= 3 || o == Unreached {
+			u.banned = now + min(longestBan, firstBan<<min(u.streak, 5))
+		}
+	case Refused:
+		u.banned = max(u.banned, now+firstBan/2)
+	}
+}
--- a/internal/schema/doc.go
+++ b/internal/schema/doc.go
@@ -2,4 +2,4 @@
 // from the .proto files beside it. It holds no behaviour.
 package schema
 
-//go:generate protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative settings.proto config.proto replication.proto internal.proto
+//go:generate protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative settings.proto config.proto replication.proto internal.proto gateway.proto
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -15,6 +15,7 @@
 	for name, generated := range map[string]protoreflect.FileDescriptor{
 		"settings.proto": File_settings_proto, "config.proto": File_config_proto,
 		"replication.proto": File_replication_proto, "internal.proto": File_internal_proto,
+		"gateway.proto": File_gateway_proto,
 	} {
 		c := protocompile.Compiler{Resolver: &protocompile.SourceResolver{}}
 		files, err := c.Compile(t.Context(), name)
--- /dev/null
+++ b/internal/starter/control.go
@@ -0,0 +1,127 @@
+package starter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/oklog/run"
+
+	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/cataloger"
+	"github.com/trefoilloft/trefoilloft/internal/controller"
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
+	"github.com/trefoilloft/trefoilloft/internal/distributor"
+	"github.com/trefoilloft/trefoilloft/internal/persister"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+// Control is a control host. Set the exported fields, then call Run.
+type Control struct {
+	Options
+	// First says that the whole system starts for the first time, with empty disks.
+	First bool
+	// Losses is the number of lost disks that must be borne.
+	Losses int
+	// Listeners returns the interface's listeners.
+	Listeners func(*controller.Cluster, *Control) []Listener
+
+	controller *controller.Controller
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	c.tune()
+	folder := filepath.Join(c.Settings.Data, "control")
+	if err := c.found(folder); err != nil {
+		return err
+	}
+	clock := &timer.Service{}
+	dial := &dialer.Dialer{Secret: c.Settings.Secret, Timer: clock}
+	defer dial.Close()
+	cluster := c.cluster(clock)
+	c.controller = &controller.Controller{
+		Settings: c.Settings, Timer: clock, Dialer: dial, Log: c.Log, Cluster: cluster,
+		Store:       &persister.Store{Folder: folder},
+		Distributor: &distributor.Distributor{Timer: clock},
+	}
+	if err := c.controller.Open(); err != nil {
+		return err
+	}
+	return c.serve(ctx, clock, cluster)
+}
+
+func (c *Control) cluster(clock *timer.Service) *controller.Cluster {
+	table := &cataloger.Table{Timer: clock, Interval: c.Interval}
+	table.Start()
+	s := c.Settings
+	return &controller.Cluster{
+		Self:  &schema.Member{Name: s.Name, Address: s.Internal, Region: s.Region, Domain: s.Domain},
+		First: c.First, Enough: 2*c.Losses + 1, Seeds: c.Seeds, Table: table,
+		Allocator: &allocator.Allocator{Now: clock.Now, Terms: func(customer string) (allocator.Terms, bool) {
+			return TermsOf(c.controller.Distributor.Current(), customer)
+		}},
+	}
+}
+
+func (c *Control) serve(ctx context.Context, clock *timer.Service, cluster *controller.Cluster) error {
+	l, err := net.Listen("tcp", c.Settings.Internal)
+	if err != nil {
+		return fmt.Errorf("starter: internal: %w", err)
+	}
+	processes, err := dialer.NewServer(c.Settings.Secret, nil, func(string) bool { return false })
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	schema.RegisterControlServiceServer(processes, &controller.Service{Controller: c.controller})
+	schema.RegisterClusterServiceServer(processes, &controller.ClusterService{Cluster: cluster})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return clock.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return c.controller.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return processes.Serve(l) }, func(error) { processes.Stop() })
+	for _, x := range c.Listeners(cluster, c) {
+		g.Add(func() error { return serveHTTP(ctx, x) }, func(error) { cancel() })
+	}
+	c.Log.Info().Bool("first", c.First).Str("internal", c.Settings.Internal).Msg("control host started")
+	err = g.Run()
+	c.Log.Info().Err(err).Msg("control host stopped")
+	return err
+}
+
+// Collectors returns the metrics of the process. Valid after Run has begun to serve.
+func (c *Control) Controller() *controller.Controller { return c.controller }
+
+// found gives an empty disk an identity. At the first start the seeds are the first
+// members; every other host, and one that lost its disk, gets a new identity and asks to
+// be a member.
+func (c *Control) found(folder string) error {
+	if _, err := os.Stat(filepath.Join(folder, persister.IdentityFile)); err == nil {
+		return nil
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("starter: %w", err)
+	}
+	// What is there without an identity was never in use.
+	if err := os.RemoveAll(folder); err != nil {
+		return fmt.Errorf("starter: %w", err)
+	}
+	identity := &schema.Identity{Id: persister.NewID(), Name: c.Settings.Name}
+	if seeds := c.Seeds(); c.First && slices.Contains(seeds, c.Settings.Internal) {
+		identity.Id = persister.InitialID(c.Settings.Internal)
+		slices.Sort(seeds)
+		for _, address := range seeds {
+			identity.Members = append(identity.Members, &schema.Member{
+				Id: persister.InitialID(address), Name: address, Address: address, Voter: true,
+			})
+		}
+		identity.Target = int32(len(seeds))
+	}
+	c.Log.Info().Uint64("identity", identity.Id).Bool("first", c.First).Int("members", len(identity.Members)).Msg("new identity")
+	return persister.Init(folder, identity)
+}
