--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -24,6 +24,9 @@
 	hostTimeout = 5 * time.Second
 )
 
+// termShift leaves room for a leader's allotments below its term.
+const termShift = 40
+
 // Terms are a customer's limits, tokens a second and tokens. Rate 0: no limit.
 type Terms struct {
 	Rate  float64
@@ -55,15 +58,16 @@
 	until  time.Duration
 }
 
-// Start forgets everything: this host has just begun to lead.
-func (a *Allocator) Start() {
+// Start forgets everything: this host has just begun to lead in a term. Allotments are
+// numbered so that a later leader's are higher.
+func (a *Allocator) Start(term uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.since = a.Now()
 	a.hosts = map[string]*host{}
 	a.given = map[string]map[string][]grant{}
 	a.asked = map[string]map[string]float64{}
-	a.number = uint64(a.since)
+	a.number = term << termShift
 }
 
 // Divide takes a host's report and returns its part of each customer's limits that it asks
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -23,7 +23,7 @@
 	find := func(string) (Terms, bool) { return f.terms, true }
 	clock := func() time.Duration { return f.now }
 	f.leader = &Allocator{Now: clock, Terms: find}
-	f.leader.Start()
+	f.leader.Start(1)
 	for range hosts {
 		f.hosts = append(f.hosts, &Bucket{Now: clock, Terms: find, Slack: terms.Burst / 5})
 	}
@@ -130,3 +130,21 @@
 		t.Error("gives nothing after the wait")
 	}
 }
+
+// TestLaterLeaderIsHeard puts a later leader in place whose clock is behind the earlier
+// one's. Hosts must take its parts.
+func TestLaterLeaderIsHeard(t *testing.T) {
+	f := newFleet(1, Terms{Rate: 10_000, Burst: 10_000})
+	f.now += Quiet
+	f.refresh(0, false)
+	behind := f.now - 10*time.Minute
+	f.leader = &Allocator{Now: func() time.Duration { return behind }, Terms: f.leader.Terms}
+	f.leader.Start(2)
+	f.now += Lease
+	behind += Quiet
+	f.refresh(0, false)
+	f.now += time.Second
+	if _, err := f.hosts[0].Take("c", 9_000); err != nil {
+		t.Errorf("the later leader's part is not in force: %v", err)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -266,7 +266,7 @@
 		return
 	}
 	if c.Cluster != nil && role == replicator.Leader {
-		c.Cluster.Allocator.Start()
+		c.Cluster.Allocator.Start(term)
 	}
 	if role == replicator.Leader || c.lastRole == replicator.Leader {
 		c.Log.Info().Bool("leader", role == replicator.Leader).Uint64("term", term).Msg("leadership changed")
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -108,6 +108,7 @@
 
 func (f *Forwarder) relayFailure(r *Request, x *schema.Failure, begun bool) error {
 	r.sent += int(x.Sent)
+	r.arrived += int(x.Arrived)
 	if begun {
 		return errors.Join(errBegun, errRelay)
 	}
@@ -137,8 +138,8 @@
 	f := s.Forwarder
 	f.inflight.Add(1)
 	defer f.inflight.Add(-1)
-	sink := &relaySink{stream: stream}
 	r, err := f.relayedRequest(m)
+	sink := &relaySink{stream: stream, request: r}
 	t := &trace{f: f, r: r}
 	if err != nil {
 		t.refuse(sink, refusalOf(err))
@@ -190,8 +191,9 @@
 
 // relaySink is a Sink towards another entry host.
 type relaySink struct {
-	stream grpc.ServerStreamingServer[schema.RelayReply]
-	head   *schema.RelayReply
+	stream  grpc.ServerStreamingServer[schema.RelayReply]
+	request *Request
+	head    *schema.RelayReply
 }
 
 // Head keeps the head for the first chunk.
@@ -235,5 +237,6 @@
 	notRun := f.Status == http.StatusServiceUnavailable || f.Status == http.StatusTooManyRequests
 	_ = s.stream.Send(&schema.RelayReply{Failure: &schema.Failure{
 		Status: int32(f.Status), Cause: f.Cause, Retry: f.Retry.Seconds(), Notrun: notRun,
+		Sent: int32(s.request.sent), Arrived: int32(s.request.arrived),
 	}})
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -41,7 +41,8 @@
 	end      time.Duration // when it gets its final answer at the latest
 	version  uint64        // of the configuration that it was decided by
 	relayed  bool          // another region's host passed it on
-	sent     int           // upstreams that it was sent to
+	sent     int           // upstreams that it was sent to and that may run it
+	arrived  int           // upstreams that it reached, also those that turned it away
 	unsure   bool          // it may have run
 }
 
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -15,7 +15,7 @@
 		return f.serveElsewhere(ctx, r, sink, t, refuse(http.StatusServiceUnavailable, causeNoHome, missingRetry))
 	}
 	err := f.serveHere(ctx, r, sink, t)
-	if err == nil || r.relayed || r.sent > 0 || ctx.Err() != nil {
+	if err == nil || r.relayed || r.arrived > 0 || ctx.Err() != nil {
 		return err
 	}
 	if errors.Is(err, scheduler.ErrNone) || errors.Is(err, scheduler.ErrFull) {
@@ -33,6 +33,9 @@
 			return err
 		}
 		why = err
+		if r.arrived > 0 && !f.Budget.Repeat(r.pool) {
+			break
+		}
 	}
 	return why
 }
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -74,7 +74,7 @@
 func (f *Forwarder) again(r *Request, err error, s *relayState) bool {
 	switch {
 	case errors.Is(err, pooler.ErrNotSent), errors.Is(err, errElsewhere):
-		return r.sent == 0 || f.Budget.Repeat(r.pool)
+		return r.arrived == 0 || f.Budget.Repeat(r.pool)
 	case s.begun && !r.resumable():
 		return false
 	case errors.Is(err, errNotRun):
@@ -125,7 +125,9 @@
 		return scheduler.Answered
 	case errors.Is(err, pooler.ErrNotSent):
 		return scheduler.Unreached
-	case errors.Is(err, errNotRun), errors.Is(err, errElsewhere):
+	case errors.Is(err, errElsewhere):
+		return scheduler.Replaced
+	case errors.Is(err, errNotRun):
 		return scheduler.Refused
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCaller):
 		return scheduler.Left
@@ -145,6 +147,7 @@
 		return err
 	}
 	r.sent++
+	r.arrived++
 	if err != nil {
 		r.unsure = true
 		return errors.Join(errFailed, err)
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -55,6 +55,8 @@
 	Refused
 	// Unreached says that no connection could be made.
 	Unreached
+	// Replaced says that another upstream has the address now.
+	Replaced
 	// Left says that the caller went away.
 	Left
 )
@@ -385,6 +387,8 @@
 		if u.streak >= 3 || o == Unreached {
 			u.banned = now + min(longestBan, firstBan<<min(u.streak, 5))
 		}
+	case Replaced:
+		u.banned = now + longestBan
 	case Refused:
 		u.banned = max(u.banned, now+firstBan/2)
 	}
