--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -34,9 +34,9 @@
 	coldPart = 0.85
 	// Time that a new owner of a cold upstream waits, so that the earlier one has stopped.
 	coldHandover = time.Second
-	// Part of the shared parts' cost that is assumed at the upstream that affinity prefers
-	// although this host does not know them to be cached there.
-	preferredPart = 0.5
+	// Weight of the time that an upstream spends on reading shared parts again, besides the
+	// request's own wait: the others that run there wait for it too.
+	rereadWeight = 2.0
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
 	roomPart = 0.8
@@ -230,11 +230,13 @@
 type option struct {
 	upstream *upstream
 	expected time.Duration
+	// cost is expected and what the choice costs others.
+	cost     time.Duration
 	uncached int64
 	cached   int64
 }
 
-// best returns the upstream that has room and the earliest expected first token, or nil.
+// best returns the upstream that has room at the least cost, or nil.
 func (s *Scheduler) best(w *Work, candidates []*upstream, now time.Duration) *option {
 	var best *option
 	preferred := s.preferred(w, candidates)
@@ -243,7 +245,7 @@
 		if o == nil {
 			continue
 		}
-		if best == nil || o.expected < best.expected {
+		if best == nil || o.cost < best.cost {
 			best = o
 		}
 	}
@@ -280,18 +282,32 @@
 		return nil
 	}
 	uncached, cached := u.cache.missing(w.Parts, w.Input)
-	cost := float64(uncached)
-	if preferred && uncached > 0 {
-		own := w.Parts[len(w.Parts)-1].Tokens
-		cost = float64(own) + math.Max(0, cost-float64(own))*preferredPart
-	}
-	backlog := float64(u.reading + u.otherReading)
-	read := time.Duration((cost + backlog) / firstReadRate * float64(time.Second))
-	expected := time.Duration(float64(firstOverhead+read) * u.factor)
+	if preferred {
+		// All hosts send its shared parts here, so they are cached although this host may
+		// not have sent them.
+		uncached = min(uncached, ownTokens(w))
+		cached = w.Input - uncached
+	}
+	backlog := u.reading + u.otherReading
+	expected := time.Duration(float64(firstOverhead+readTime(uncached+backlog)) * u.factor)
 	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > room && w.Objective > now {
 		return nil
 	}
-	return &option{upstream: u, expected: expected, uncached: uncached, cached: cached}
+	reread := readTime(max(0, uncached-ownTokens(w)))
+	cost := expected + time.Duration(float64(reread)*rereadWeight*u.factor)
+	return &option{upstream: u, expected: expected, cost: cost, uncached: uncached, cached: cached}
+}
+
+func readTime(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / firstReadRate * float64(time.Second))
+}
+
+// ownTokens returns the tokens of a prompt that no other request shares.
+func ownTokens(w *Work) int64 {
+	if len(w.Parts) == 0 {
+		return w.Input
+	}
+	return w.Parts[len(w.Parts)-1].Tokens
 }
 
 func (u *upstream) predictService(w *Work, running int) *option {
@@ -307,7 +323,8 @@
 	expected := service + service*time.Duration(queued)/time.Duration(slots)
 	// Among upstreams that would answer alike, the one with the fewest requests.
 	expected += time.Duration(running) * time.Millisecond
-	return &option{upstream: u, expected: time.Duration(float64(expected) * (1 + u.failures))}
+	expected = time.Duration(float64(expected) * (1 + u.failures))
+	return &option{upstream: u, expected: expected, cost: expected}
 }
 
 // fits reports whether a request's tokens find memory beside those that run.
