Let only the leader judge whether a host is ready; relay no work to a host that stops

Ruled out: the leader's table, the stopping host's report (both in the log within 0.7 s). A stopping host also took relayed requests that would outlive it.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -173,7 +173,7 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	old := t.peers[p.Name]
-	if old != nil && (p.Incarnation < old.said.Incarnation || (p.Incarnation == old.said.Incarnation && p.Number <= old.said.Number)) {
+	if old != nil && !newerPeer(p, old.said) {
 		return false
 	}
 	fresh := &peer{said: p, heard: now - time.Duration(p.Age*float64(time.Second)), via: via}
@@ -188,8 +188,17 @@
 	return changed
 }
 
+// newerPeer reports whether a was said after b. The leader may find after the last report
+// that a host fell silent.
+func newerPeer(a, b *schema.Peer) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Number > b.Number || (a.Number == b.Number && b.Ready && !a.Ready)
+}
+
 // Sweep marks upstreams and hosts that fell silent, and forgets what is long gone. Leads
-// says that this host hears of every host; another judges only those that report to it.
+// says that this host hears of every host: only then does it judge hosts.
 func (t *Table) Sweep(leads bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -218,7 +227,7 @@
 		switch {
 		case now-p.heard > forgetTime:
 			delete(t.peers, name)
-		case p.said.Ready && now-p.heard > unreadyTime && (leads || p.via == ""):
+		case leads && p.said.Ready && now-p.heard > unreadyTime:
 			said := proto.Clone(p.said).(*schema.Peer)
 			said.Ready = false
 			t.revision++
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -89,6 +89,8 @@
 		return nil, status.Error(codes.InvalidArgument, "a host needs a name")
 	}
 	if k.Table.TakePeer(r.Self, "") {
+		k.c.Log.Info().Str("peer", r.Self.Name).Uint64("incarnation", r.Self.Incarnation).Uint64("number", r.Self.Number).
+			Bool("ready", r.Self.Ready).Msg("host changed")
 		k.wake()
 	}
 	reply := &schema.RefreshReply{Age: -1}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -98,12 +98,18 @@
 
 // admit charges the request, and refuses what could not end before the process does.
 func (f *Forwarder) admit(ctx context.Context, r *Request) error {
-	if at := time.Duration(f.stopping.Load()); at > 0 && f.expectedEnd(r) > at {
+	if f.endsTooLate(r) {
 		return refuse(http.StatusServiceUnavailable, causeStopping, shortRetry)
 	}
 	return f.charge(ctx, r)
 }
 
+// endsTooLate reports whether the process would end before the request does.
+func (f *Forwarder) endsTooLate(r *Request) bool {
+	at := time.Duration(f.stopping.Load())
+	return at > 0 && f.expectedEnd(r) > at
+}
+
 const (
 	// Retry-After of a host that stops: another host can serve at once.
 	shortRetry = 20 * time.Millisecond
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -145,6 +145,10 @@
 		t.refuse(sink, refusalOf(err))
 		return nil
 	}
+	if f.endsTooLate(r) {
+		t.refuse(sink, refuse(http.StatusServiceUnavailable, causeStopping, shortRetry))
+		return nil
+	}
 	ctx, cancel := f.until(stream.Context(), r.end)
 	defer cancel()
 	state := &relayState{}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -220,10 +220,17 @@
 		}
 	}
 	for _, a := range reply.Upstreams {
-		r.Table.TakeUpstream(a, false)
+		if r.Table.TakeUpstream(a, false) {
+			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
+				Float64("age", a.Age).Bool("leaving", a.Leaving).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("cold", a.Cold).
+				Str("control", r.source).Msg("upstream learned")
+		}
 	}
 	for _, p := range reply.Peers {
-		r.Table.TakePeer(p, r.source)
+		if r.Table.TakePeer(p, r.source) {
+			r.Log.Info().Str("peer", p.Name).Uint64("incarnation", p.Incarnation).Uint64("number", p.Number).
+				Float64("age", p.Age).Bool("ready", p.Ready).Str("control", r.source).Msg("host learned")
+		}
 	}
 	r.cursor, r.process = reply.Cursor, reply.Process
 	r.Bucket.Grant(reply.Allotment, asked)
