--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -18,7 +18,7 @@
 func (f *Forwarder) identify(r *Request) error {
 	x := f.index.Load()
 	if x == nil || x.snapshot.Document() == 0 {
-		return refuse(http.StatusServiceUnavailable, causeNoConfig, staleRetry)
+		return refuse(http.StatusServiceUnavailable, causeNoConfig, startRetry)
 	}
 	r.version = x.snapshot.Version
 	r.route = x.route(r.Host, r.Path)
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -40,8 +40,11 @@
 )
 
 const (
-	// Time after which a configuration that cannot be confirmed now may be again.
-	staleRetry = 700 * time.Millisecond
+	// Time after which a host that has just started knows the configuration: when all control
+	// hosts start with it, they elect a leader first.
+	startRetry = 2500 * time.Millisecond
+	// Time after which a configuration that cannot be confirmed now may be again: an election.
+	staleRetry = 1500 * time.Millisecond
 	// Time after which an upstream may be there again.
 	missingRetry = 500 * time.Millisecond
 	refusedRetry = 200 * time.Millisecond
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -172,7 +172,7 @@
 	}
 	x := f.index.Load()
 	if x == nil {
-		return r, refuse(http.StatusServiceUnavailable, causeNoConfig, staleRetry)
+		return r, refuse(http.StatusServiceUnavailable, causeNoConfig, startRetry)
 	}
 	r.version = x.snapshot.Version
 	r.route = x.route(r.Host, r.Path)
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -37,6 +37,8 @@
 	// Weight of the time that an upstream spends on reading shared parts again, besides the
 	// request's own wait: the others that run there wait for it too.
 	rereadWeight = 2.0
+	// What one running request costs a new one: both are slowed down in every step.
+	runningCost = 3 * time.Millisecond
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
 	roomPart = 0.8
@@ -294,7 +296,7 @@
 		return nil
 	}
 	reread := readTime(max(0, uncached-ownTokens(w)))
-	cost := expected + time.Duration(float64(reread)*rereadWeight*u.factor)
+	cost := expected + time.Duration(float64(reread)*rereadWeight*u.factor) + time.Duration(running)*runningCost
 	return &option{upstream: u, expected: expected, cost: cost, uncached: uncached, cached: cached}
 }
 
