Name a region's stopping hosts before other regions' ready ones

A stopping host serves for half of its grace; it now says that it stops, is named where no other is ready, and goes on until another is. Ruled out: a wrong region in the question.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -177,7 +177,7 @@
 		return false
 	}
 	fresh := &peer{said: p, heard: now - time.Duration(p.Age*float64(time.Second)), via: via}
-	changed := old == nil || old.said.Incarnation != p.Incarnation || old.said.Ready != p.Ready || old.said.Listen != p.Listen
+	changed := old == nil || old.said.Incarnation != p.Incarnation || old.said.Ready != p.Ready || old.said.Stopping != p.Stopping || old.said.Listen != p.Listen
 	if changed {
 		t.revision++
 		fresh.revision = t.revision
@@ -265,6 +265,22 @@
 	return all
 }
 
+// Stopping returns the hosts of a region that said not longer ago than within that they
+// stop, by name.
+func (t *Table) Stopping(region string, within time.Duration) []*schema.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var all []*schema.Peer
+	for _, p := range t.peers {
+		if p.said.Stopping && p.said.Region == region && now-p.heard <= within {
+			all = append(all, p.said)
+		}
+	}
+	slices.SortFunc(all, func(a, b *schema.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // Changes is what changed in a table since a position.
 type Changes struct {
 	Upstreams []*schema.Announcement
@@ -316,7 +332,7 @@
 func bare(p *peer, now time.Duration) *schema.Peer {
 	return &schema.Peer{
 		Name: p.said.Name, Region: p.said.Region, Domain: p.said.Domain, Listen: p.said.Listen, Internal: p.said.Internal,
-		Incarnation: p.said.Incarnation, Number: p.said.Number, Ready: p.said.Ready, Age: (now - p.heard).Seconds(),
+		Incarnation: p.said.Incarnation, Number: p.said.Number, Ready: p.said.Ready, Stopping: p.said.Stopping, Age: (now - p.heard).Seconds(),
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -115,13 +115,19 @@
 	shortRetry = 20 * time.Millisecond
 	// Time that a stream is assumed to take for each token of its answer.
 	tokenTime = 8 * time.Millisecond
+	// Callers' hints of the length of an answer hold at the median; few exceed twice that.
+	hintFactor = 2
 )
 
 // expectedEnd estimates when a request that arrives now would end.
 func (f *Forwarder) expectedEnd(r *Request) time.Duration {
 	need := seconds(r.route.Objective)
 	if r.stream() {
-		need += time.Duration(max(r.Hint, r.Output)) * tokenTime
+		tokens := r.Output
+		if r.Hint > 0 {
+			tokens = min(tokens, r.Hint*hintFactor)
+		}
+		need += time.Duration(tokens) * tokenTime
 	}
 	return min(r.end, f.Timer.Now()+need)
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	// Part of the grace that is left unused.
 	graceMargin = 400 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
+	// Part of the grace, as a divisor, within which a stopping host is still named where no
+	// other host of its region is ready.
+	stoppingPart = 2
 )
 
 // Entry is an entry host. Set the exported fields, then call Run.
@@ -144,7 +148,7 @@
 	e.refresher.Kick()
 	e.Log.Info().Int64("inflight", e.Forwarder.Inflight()).Dur("grace", e.Grace).Msg("stopping")
 	for e.Timer.Now() < end {
-		if e.Timer.Now()-begun > lingerTime && e.Forwarder.Inflight() == 0 {
+		if e.Timer.Now()-begun > lingerTime && e.Forwarder.Inflight() == 0 && len(e.Table.Ready(e.Settings.Region)) > 0 {
 			break
 		}
 		if err := e.Timer.Sleep(parts, stopPoll); err != nil {
@@ -164,35 +168,40 @@
 	return !e.stopping.Load() && sure && age < readyLimit && e.distributor.Current().Document() > 0
 }
 
-// Resolve returns the callers' addresses of ready hosts: those of a region, else all.
+// Resolve returns the addresses that callers of a region should use: its ready hosts, else
+// those of it that stop but still serve, else the ready hosts of other regions.
 func (e *Entry) Resolve(region string) []string {
-	peers := e.Table.Ready(region)
-	if len(peers) == 0 && !(region == e.Settings.Region && e.Ready()) {
-		peers = e.Table.Ready("")
+	peers := e.withSelf(region, e.Table.Ready(region))
+	if len(peers) == 0 {
+		peers = e.Table.Stopping(region, e.Grace/stoppingPart)
+	}
+	if len(peers) == 0 {
+		peers = e.withSelf("", e.Table.Ready(""))
 	}
 	var all []string
-	self := false
 	for _, p := range peers {
-		if p.Name == e.Settings.Name {
-			self = true
-			if e.stopping.Load() {
-				continue
-			}
-		}
 		all = append(all, p.Listen)
 	}
-	if !self && e.Ready() && (region == e.Settings.Region || len(all) == 0) {
-		all = append(all, e.Settings.Listen)
-	}
 	return all
 }
 
+// withSelf adds this host if it is ready, and takes it out if it is not: others may not
+// have heard yet.
+func (e *Entry) withSelf(region string, peers []*schema.Peer) []*schema.Peer {
+	name := e.Settings.Name
+	peers = slices.DeleteFunc(peers, func(p *schema.Peer) bool { return p.Name == name })
+	if e.Ready() && (region == "" || region == e.Settings.Region) {
+		peers = append(peers, &schema.Peer{Name: name, Listen: e.Settings.Listen})
+	}
+	return peers
+}
+
 // self is what this host says of itself.
 func (e *Entry) self() *schema.Peer {
 	s := e.Settings
 	return &schema.Peer{
 		Name: s.Name, Region: s.Region, Domain: s.Domain, Listen: s.Listen, Internal: s.Internal,
-		Incarnation: e.incarnation, Ready: e.Ready(), Loads: e.scheduler.Report(),
+		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Loads: e.scheduler.Report(),
 	}
 }
 
