--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,288 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/scheduler"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+// plain is a Dialect whose marks are easy to read in tests.
+type plain struct{}
+
+func (plain) Encode(a Attempt) (*http.Request, error) {
+	r := a.Request
+	h := http.Header{"Id": {r.ID}, "After": {a.After}, "Customer": {r.Customer()}}
+	out := &http.Request{Method: r.Method, URL: &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Path}, Host: r.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
+	if len(r.Body) > 0 {
+		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+	}
+	return out, nil
+}
+
+func (plain) Judge(_ Attempt, h *http.Response) Verdict {
+	switch {
+	case h.Header.Get("Not-Run") != "":
+		return NotRun
+	case h.StatusCode >= 500:
+		return Broken
+	}
+	return Good
+}
+
+func (plain) Pass(h http.Header) http.Header { return http.Header{"Mark": h.Values("Mark")} }
+
+// result is what a caller saw.
+type result struct {
+	Status   int
+	Body     string
+	Finished bool
+	Aborted  bool
+	Cause    string
+}
+
+type recorderSink struct{ result }
+
+func (s *recorderSink) Head(status int, _ http.Header, _ int64) { s.Status = status }
+func (s *recorderSink) Chunk(b []byte) error                    { s.Body += string(b); return nil }
+func (s *recorderSink) Finish()                                 { s.Finished = true }
+func (s *recorderSink) Abort()                                  { s.Aborted = true }
+func (s *recorderSink) Refuse(f *Refusal)                       { s.Status, s.Cause = f.Status, f.Cause }
+
+// system is a Forwarder before scripted upstreams.
+type system struct {
+	*Forwarder
+	mu       sync.Mutex
+	arrivals []string
+	age      time.Duration
+}
+
+// answer is one step of a script: it writes an answer, or breaks it off.
+type answer func(w http.ResponseWriter, r *http.Request)
+
+func text(status int, body string, header ...string) answer {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if len(header) == 2 {
+			w.Header().Set(header[0], header[1])
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func breakOff(body string) answer {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if body != "" {
+			_, _ = io.WriteString(w, body)
+			w.(http.Flusher).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func routes() []*schema.Item {
+	var items []*schema.Item
+	add := func(name string, kind schema.RouteKind, attempts int32, resumable, open bool) {
+		r := &schema.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 3, Objective: 1, Attempts: attempts,
+			Targets: []*schema.Target{{Pool: "p", Weight: 1}}, Resumable: resumable, Open: open,
+		}
+		items = append(items, &schema.Item{Path: "route/h" + r.Prefix, Value: &schema.Item_Route{Route: r}})
+	}
+	add("safe", schema.RouteKind_ROUTE_SAFE, 2, false, true)
+	add("unsafe", schema.RouteKind_ROUTE_UNSAFE, 2, false, true)
+	add("once", schema.RouteKind_ROUTE_UNSAFE, 1, false, true)
+	add("stream", schema.RouteKind_ROUTE_STREAM, 2, false, true)
+	add("resume", schema.RouteKind_ROUTE_STREAM, 2, true, true)
+	add("keyed", schema.RouteKind_ROUTE_SAFE, 1, false, false)
+	key := &schema.Key{Hash: HashKey("k"), Customer: "c"}
+	return append(items,
+		&schema.Item{Path: "pool/p", Value: &schema.Item_Pool{Pool: &schema.Pool{Name: "p"}}},
+		&schema.Item{Path: "customer/c", Value: &schema.Item_Customer{Customer: &schema.Customer{Name: "c", Rate: 100, Burst: 100, Plain: 10}}},
+		&schema.Item{Path: "key/" + key.Hash, Value: &schema.Item_Key{Key: key}},
+		&schema.Item{Path: "document", Value: &schema.Item_Document{Document: &schema.Document{Number: 1}}},
+	)
+}
+
+// newSystem starts an upstream for each script; every request takes the next step of its
+// upstream's script.
+func newSystem(t *testing.T, scripts ...[]answer) *system {
+	t.Helper()
+	clock := &timer.Service{}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = clock.Run(ctx) }()
+	c := configurer.FromMessage(&schema.Snapshot{Version: 1, Items: routes()})
+	s := &system{}
+	find := func(name string) (allocator.Terms, bool) {
+		x := c.Customer(name)
+		return allocator.Terms{Rate: x.GetRate(), Burst: x.GetBurst()}, x != nil
+	}
+	s.Forwarder = &Forwarder{
+		Region: "r", Timer: clock, Log: zerolog.Nop(), Dialect: plain{}, Metrics: NewMetrics(), KeyLimit: time.Second,
+		Scheduler: &scheduler.Scheduler{Timer: clock, Config: func() *configurer.Snapshot { return c }},
+		Pool:      &pooler.Pool{Timer: clock},
+		Bucket:    &allocator.Bucket{Now: clock.Now, Terms: find, Slack: 400},
+		Budget:    &Budget{Now: clock.Now, Window: 10 * time.Second, Ratio: 0.2, Slack: 100, Hosts: func() int { return 1 }},
+		Age:       func() (time.Duration, bool) { return s.age, true },
+		Peers:     func(string) []*schema.Peer { return nil },
+		Borrow: func(context.Context, string, float64, float64) (float64, time.Duration, error) {
+			return 0, time.Minute, nil
+		},
+	}
+	s.Configure(c)
+	var all []*schema.Announcement
+	for i, script := range scripts {
+		all = append(all, &schema.Announcement{
+			Name: fmt.Sprint("u", i), Address: s.upstream(t, fmt.Sprint("u", i), script), Pool: "p", Region: "r", Domain: "d", Slots: 4, Incarnation: 1,
+		})
+	}
+	s.Scheduler.Update(all)
+	return s
+}
+
+func (s *system) upstream(t *testing.T, name string, script []answer) string {
+	step := 0
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, strings.TrimSpace(name+" "+r.Header.Get("After")))
+		next := script[min(step, len(script)-1)]
+		step++
+		s.mu.Unlock()
+		next(w, r)
+	}))
+	t.Cleanup(h.Close)
+	return strings.TrimPrefix(h.URL, "http://")
+}
+
+func (s *system) call(path, key string) result {
+	now := s.Timer.Now()
+	sink := &recorderSink{}
+	s.Serve(context.Background(), &Request{
+		ID: "1", Host: "h", Method: "POST", Path: path, Header: http.Header{}, Body: []byte("body"), Key: key,
+		Arrived: now, Deadline: now + 2*time.Second,
+	}, sink)
+	return sink.result
+}
+
+const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+// TestOutcomes runs each kind of request against upstreams that fail in each way. The
+// first upstream of a case is always tried first; arrivals are all that upstreams saw.
+func TestOutcomes(t *testing.T) {
+	good := []answer{text(200, "good")}
+	for _, c := range []struct {
+		name, path string
+		first      []answer
+		second     []answer
+		want       result
+		arrivals   []string
+	}{
+		{"answered", "/unsafe/x", []answer{text(200, "ok")}, good, result{Status: 200, Body: "ok", Finished: true}, []string{"u0"}},
+		{"may not be repeated, cut before the answer", "/unsafe/x", []answer{breakOff("")}, good,
+			result{Status: 502, Cause: "forwarder: the upstream failed"}, []string{"u0"}},
+		{"may not be repeated, cut in the answer", "/unsafe/x", []answer{breakOff("half")}, good,
+			result{Status: 502, Cause: "forwarder: the upstream failed"}, []string{"u0"}},
+		{"may not be repeated, the upstream's failure", "/unsafe/x", []answer{text(500, "bad")}, good,
+			result{Status: 500, Body: "bad", Finished: true}, []string{"u0"}},
+		{"turned away", "/unsafe/x", []answer{text(503, "", "Not-Run", "1")}, good,
+			result{Status: 200, Body: "good", Finished: true}, []string{"u0", "u1"}},
+		{"turned away, one attempt", "/once/x", []answer{text(503, "", "Not-Run", "1")}, good,
+			result{Status: 503, Cause: errNotRun.Error()}, []string{"u0"}},
+		{"idempotent, cut", "/safe/x", []answer{breakOff("half")}, good, result{Status: 200, Body: "good", Finished: true}, []string{"u0", "u1"}},
+		{"idempotent, both fail", "/safe/x", []answer{text(500, "bad")}, []answer{text(500, "worse")},
+			result{Status: 500, Body: "worse", Finished: true}, []string{"u0", "u1"}},
+		{"stream", "/stream/x", []answer{text(200, events)}, good, result{Status: 200, Body: events, Finished: true}, []string{"u0"}},
+		{"stream cut in an event", "/stream/x", []answer{breakOff("id: 1\ndata: a\n\nid: 2\nda")}, good,
+			result{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, []string{"u0"}},
+		{"stream cut in an event, another goes on", "/resume/x", []answer{breakOff("id: 1\ndata: a\n\nid: 2\nda")}, []answer{text(200, "id: 2\ndata: b\n\n")},
+			result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1 1"}},
+		{"no such route", "/none/x", good, good, result{Status: 404, Cause: causeNoRoute}, nil},
+		{"no key", "/keyed/x", good, good, result{Status: 401, Cause: causeNoKey}, nil},
+	} {
+		s := newSystem(t, c.first, c.second)
+		s.preferFirst()
+		got := s.call(c.path, "")
+		if c.want.Cause != "" {
+			got.Cause, _, _ = strings.Cut(got.Cause, "\n")
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+		if diff := cmp.Diff(c.arrivals, s.arrivals); diff != "" {
+			t.Errorf("%s: arrivals: -want +got\n%s", c.name, diff)
+		}
+	}
+}
+
+// preferFirst makes the other upstreams look busier.
+func (s *system) preferFirst() {
+	s.Scheduler.Loads([]*schema.PoolLoad{{Pool: "p", Running: map[string]int32{"u1": 2}}})
+}
+
+// TestKeys serves a valid key only while the configuration is certain.
+func TestKeys(t *testing.T) {
+	s := newSystem(t, []answer{text(200, "ok")})
+	if got := s.call("/keyed/x", "k"); got.Status != 200 {
+		t.Errorf("valid key: %+v", got)
+	}
+	s.age = 2 * time.Second
+	if got := s.call("/keyed/x", "k"); got.Status != 503 || got.Cause != causeStale {
+		t.Errorf("valid key, old certainty: %+v", got)
+	}
+	if got := s.call("/safe/x", ""); got.Status != 200 {
+		t.Errorf("open route, old certainty: %+v", got)
+	}
+}
+
+// TestOverRate refuses with 429 what is over the customer's rate.
+func TestOverRate(t *testing.T) {
+	s := newSystem(t, []answer{text(200, "ok")})
+	statuses := map[int]int{}
+	for range 60 {
+		statuses[s.call("/keyed/x", "k").Status]++
+	}
+	if statuses[200] < 1 || statuses[429] < 20 || statuses[200]+statuses[429] != 60 {
+		t.Errorf("got %v", statuses)
+	}
+}
+
+// TestCallerLeaves ends the upstream's work soon after its caller has gone.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	s := newSystem(t, []answer{func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(ended)
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	s.Timer.Once(50*time.Millisecond, cancel)
+	now := s.Timer.Now()
+	sink := &recorderSink{}
+	s.Serve(ctx, &Request{ID: "1", Host: "h", Method: "GET", Path: "/stream/x", Header: http.Header{}, Arrived: now, Deadline: now + time.Minute}, sink)
+	if !sink.Aborted {
+		t.Errorf("got %+v", sink.result)
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the upstream still works a second later")
+	}
+}
