--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -30,6 +30,8 @@
 	// a connection that the upstream has dropped.
 	freshLimit  = 1500 * time.Millisecond
 	bufferBytes = 4 << 10
+	// Time in which the writer of a request notices that it is through.
+	writeGrace = 20 * time.Millisecond
 	// Idle connections kept to one upstream.
 	idleConns = 64
 )
@@ -184,18 +186,27 @@
 	if c.Response == nil || c.Response.Close || c.conn.reader.Buffered() > 0 {
 		return false
 	}
-	select {
-	case err := <-c.written:
-		if err != nil {
-			return false
-		}
-	default:
-		return false // answered before the request was through
+	if !c.through() {
+		return false
 	}
 	c.conn.limit = keepAlive(c.Response.Header.Get("Keep-Alive"))
 	return c.conn.limit > 0
 }
 
+// through reports whether the whole request was written. An upstream may answer before
+// that; one that read all of it may answer before the writer has noticed.
+func (c *Call) through() bool {
+	late := make(chan struct{})
+	cancel := c.pool.Timer.Once(writeGrace, func() { close(late) })
+	defer cancel()
+	select {
+	case err := <-c.written:
+		return err == nil
+	case <-late:
+		return false
+	}
+}
+
 // keepAlive returns how long an upstream keeps an idle connection, with a margin.
 func keepAlive(header string) time.Duration {
 	for _, part := range strings.Split(header, ",") {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// TestWrittenLate answers before the writer of the request has noticed that it is through.
+func TestWrittenLate(t *testing.T) {
+	p := pool(t)
+	c := &Call{pool: p, written: make(chan error, 1)}
+	p.Timer.Once(writeGrace/4, func() { c.written <- nil })
+	if !c.through() {
+		t.Error("the connection is given up")
+	}
+	c = &Call{pool: p, written: make(chan error, 1)}
+	if c.through() {
+		t.Error("a request that is not through counts as written")
+	}
+}
+
 // TestDropped makes new connections where the last one must not be used again.
 func TestDropped(t *testing.T) {
 	for name, first := range map[string]string{
