--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -62,6 +62,14 @@
 	return r.route.Kind == schema.RouteKind_ROUTE_STREAM && r.route.Resumable
 }
 
+// shared returns the last part of the prompt that other requests share; empty if none.
+func (r *Request) shared() string {
+	if len(r.Parts) < 2 {
+		return ""
+	}
+	return r.Parts[len(r.Parts)-2].ID
+}
+
 func (r *Request) stream() bool { return r.route.Kind == schema.RouteKind_ROUTE_STREAM }
 
 // Sink is the way back to a caller.
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -35,7 +35,7 @@
 	certainty, _ := t.f.Age()
 	t.f.Metrics.waited.Observe(wait.Seconds())
 	t.line(t.f.Log.Info()).Str("upstream", p.Name).Str("address", p.Address).Dur("waited", wait).
-		Dur("expected", p.Expected).Int64("cached", p.Cached).Int64("input", t.r.Input).Int("running", p.Running).
+		Dur("expected", p.Expected).Str("shared", t.r.shared()).Int64("cached", p.Cached).Int64("input", t.r.Input).Int("running", p.Running).
 		Dur("certainty", certainty).Int("sent", t.r.sent).Msg("placed")
 }
 
