--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -33,12 +33,15 @@
 	return r.regions == nil || slices.Contains(r.regions, region)
 }
 
+// remote is another region that may serve a request.
+type remote struct {
+	region string
+	// load is the part of its slots that is taken.
+	load float64
+}
+
 // remotes returns the other regions that may serve a request, the least loaded first.
-func (f *Forwarder) remotes(r *Request) []string {
-	type remote struct {
-		region string
-		load   float64
-	}
+func (f *Forwarder) remotes(r *Request) []remote {
 	var all []remote
 	for _, d := range f.digests() {
 		if d.Region == f.Region || !r.allows(d.Region) {
@@ -51,9 +54,14 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b remote) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.region, b.region)) })
-	var names []string
-	for _, x := range all {
-		names = append(names, x.region)
+	return all
+}
+
+// leastLoad returns the load of the least loaded region that may serve a request; 1 if
+// there is none.
+func (f *Forwarder) leastLoad(r *Request) float64 {
+	for _, x := range f.remotes(r) {
+		return x.load
 	}
-	return names
+	return 1
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -45,6 +45,7 @@
 		held = append(held, b[:n]...)
 		if at := lastEventEnd(held); at > 0 {
 			place.First()
+			place.Sign()
 			if err := f.passEvents(sink, s, call, held[:at]); err != nil {
 				return err
 			}
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -93,7 +93,7 @@
 		outcome = scheduler.Left
 		return err
 	}
-	ctx, cancel := f.tryContext(ctx, r, s)
+	ctx, cancel := f.tryContext(ctx, r, s, place)
 	defer cancel()
 	err := f.send(ctx, r, sink, place, s)
 	outcome = outcomeOf(ctx, err)
@@ -101,16 +101,21 @@
 	return err
 }
 
-// tryContext bounds a try that another upstream could still take over in time.
-func (f *Forwarder) tryContext(ctx context.Context, r *Request, s *relayState) (context.Context, context.CancelFunc) {
+// tryContext bounds a try at an upstream from which nothing comes, where another one could
+// still take over in time. An upstream that answers other requests is slow, not silent: to
+// send the request elsewhere would only add to the load.
+func (f *Forwarder) tryContext(ctx context.Context, r *Request, s *relayState, place *scheduler.Place) (context.Context, context.CancelFunc) {
 	if !r.repeatable() || r.sent+1 >= int(r.route.Attempts) || s.begun {
 		return context.WithCancel(ctx)
 	}
-	now := f.Timer.Now()
 	limit := max(shortestTry, time.Duration(tryObjectives*float64(seconds(r.route.Objective))))
-	limit = min(limit, (r.end-now)/2)
+	limit = min(limit, (r.end-f.Timer.Now())/2)
 	ctx, cancel := context.WithCancelCause(ctx)
-	s.stopTry = f.Timer.Once(limit, func() { cancel(errSlow) })
+	s.stopTry = f.Timer.Once(limit, func() {
+		if !place.Alive() {
+			cancel(errSlow)
+		}
+	})
 	stop := s.stopTry
 	return ctx, func() {
 		stop()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,6 +78,8 @@
 	Config func() *configurer.Snapshot
 	// Owns reports whether this host is the one that sends work to a cold upstream.
 	Owns func(upstream string) bool
+	// Random returns a number in [0, n). Nil: the global generator.
+	Random func(n int) int
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream // by name; guarded by mu
@@ -260,6 +262,8 @@
 	Free bool
 	// Waiting is how many requests wait.
 	Waiting int
+	// Load is the part of all upstreams' slots that is taken.
+	Load float64
 }
 
 // Look returns the outlook for work without taking a place.
@@ -269,12 +273,35 @@
 	now := s.Timer.Now()
 	candidates := s.candidates(w, now)
 	o := Outlook{Upstreams: len(candidates), Waiting: len(s.pool(w.Pool).waiting)}
+	running, slots := 0, 0
+	for _, u := range candidates {
+		running += u.running + u.otherRunning
+		slots += int(u.said.Slots)
+	}
+	o.Load = float64(running+o.Waiting) / float64(max(1, slots))
 	if best := s.best(w, candidates, now); best != nil {
 		o.First, o.Free = best.expected, true
 	}
 	return o
 }
 
+// Alive reports whether anything came from the upstream since the place was taken, and
+// notes nothing.
+func (p *Place) Alive() bool {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.upstream.sign > p.begun
+}
+
+// Sign notes that something came from the upstream.
+func (p *Place) Sign() {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.upstream.sign = s.Timer.Now()
+}
+
 // First notes that the answer, or its first event, has come.
 func (p *Place) First() {
 	s := p.scheduler
@@ -285,6 +312,7 @@
 	}
 	p.first = true
 	now := s.Timer.Now()
+	p.upstream.sign = now
 	p.upstream.reading -= p.reading
 	p.upstream.learn(p, now-p.begun)
 	s.dispatch(p.work.Pool, now)
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,8 @@
 	rereadWeight = 2.0
 	// What one running request costs a new one: both are slowed down in every step.
 	runningCost = 3 * time.Millisecond
+	// Upstreams compared for a request, besides the one that affinity prefers.
+	sampleSize = 4
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
 	roomPart = 0.8
@@ -79,6 +82,8 @@
 	// service is the average time of a plain answer.
 	service time.Duration
 	cache   cache
+	// sign is when something last came from it.
+	sign time.Duration
 	// failures is the rate of failures; banned is until when the upstream is passed over.
 	failures float64
 	streak   int
@@ -238,22 +243,41 @@
 	cached   int64
 }
 
-// best returns the upstream that has room at the least cost, or nil.
+// best returns the upstream that has room at the least cost among a sample, else among
+// all, or nil. Hosts know of each other's work late: if each took the best of all, they
+// would all take the same.
 func (s *Scheduler) best(w *Work, candidates []*upstream, now time.Duration) *option {
-	var best *option
 	preferred := s.preferred(w, candidates)
-	for _, u := range candidates {
-		o := s.predict(w, u, u == preferred, now)
-		if o == nil {
-			continue
-		}
-		if best == nil || o.cost < best.cost {
+	var best *option
+	consider := func(u *upstream) {
+		if o := s.predict(w, u, u == preferred, now); o != nil && (best == nil || o.cost < best.cost) {
 			best = o
 		}
 	}
+	if preferred != nil {
+		consider(preferred)
+	}
+	if len(candidates) > sampleSize {
+		for range sampleSize {
+			consider(candidates[s.random(len(candidates))])
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for _, u := range candidates {
+		consider(u)
+	}
 	return best
 }
 
+func (s *Scheduler) random(n int) int {
+	if s.Random != nil {
+		return s.Random(n)
+	}
+	return rand.IntN(n)
+}
+
 // preferred returns the upstream at which all hosts agree that a shared prompt should be
 // cached, nil without a shared part.
 func (s *Scheduler) preferred(w *Work, candidates []*upstream) *upstream {
