--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -286,3 +287,17 @@
 		t.Error("the upstream still works a second later")
 	}
 }
+
+// TestBegunRelayEnds gets the end of another region's answer after it has begun, without
+// its end mark. The request must not run again, here or elsewhere.
+func TestBegunRelayEnds(t *testing.T) {
+	f := &Forwarder{}
+	for name, x := range map[string]*schema.Failure{
+		"broken off": {Status: http.StatusBadGateway}, "broken off, said not to have run": {Status: http.StatusServiceUnavailable, Notrun: true},
+	} {
+		r := &Request{}
+		if err := f.relayFailure(r, x, true); !errors.Is(err, errBegun) || !r.unsure {
+			t.Errorf("%s: got %v, unsure %v", name, err, r.unsure)
+		}
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -109,12 +109,10 @@
 func (f *Forwarder) relayFailure(r *Request, x *schema.Failure, begun bool) error {
 	r.sent += int(x.Sent)
 	r.arrived += int(x.Arrived)
+	r.unsure = r.unsure || begun || !x.Notrun
 	if begun {
 		return errors.Join(errBegun, errRelay)
 	}
-	if !x.Notrun {
-		r.unsure = true
-	}
 	return refuse(int(x.Status), x.Cause, seconds(x.Retry))
 }
 
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -18,8 +18,9 @@
 	}
 	s := &relayState{}
 	if f.spills(r) {
-		if err := f.serveElsewhere(ctx, r, sink, t, errSpill); err == nil || r.arrived > 0 || r.unsure || ctx.Err() != nil {
-			return f.last(s, sink, err)
+		err := f.serveElsewhere(ctx, r, sink, t, errSpill)
+		if err == nil || r.arrived > 0 || r.unsure || ctx.Err() != nil {
+			return err
 		}
 	}
 	err := f.serveHere(ctx, r, sink, t, s)
