--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	others   []*schema.RegionDigest // guarded by mu
 	stopping atomic.Int64           // boot time at which the process ends; 0: it does not stop
+	careful  atomic.Int64           // boot time from which work is taken only if it surely ends before
 	inflight atomic.Int64
 }
 
@@ -69,7 +70,10 @@
 }
 
 // Stop says that the process ends at a time: work that would not end before it is refused.
-func (f *Forwarder) Stop(at time.Duration) { f.stopping.Store(int64(at)) }
+func (f *Forwarder) Stop(at time.Duration) {
+	f.careful.Store(int64(f.Timer.Now() + hopefulTime))
+	f.stopping.Store(int64(at))
+}
 
 // Inflight returns how many requests are being served.
 func (f *Forwarder) Inflight() int64 { return f.inflight.Load() }
@@ -115,21 +119,29 @@
 	shortRetry = 20 * time.Millisecond
 	// Time that a stream is assumed to take for each token of its answer.
 	tokenTime = 8 * time.Millisecond
+	// The same at an engine whose slots are all taken.
+	slowTokenTime = 20 * time.Millisecond
+	// Time after the signal to stop in which the estimate may be wrong: most of the grace is
+	// left.
+	hopefulTime = 2500 * time.Millisecond
 	// Callers' hints of the length of an answer hold at the median; few exceed twice that.
 	hintFactor = 2
 )
 
 // expectedEnd estimates when a request that arrives now would end.
 func (f *Forwarder) expectedEnd(r *Request) time.Duration {
+	now := f.Timer.Now()
 	need := seconds(r.route.Objective)
-	if r.stream() {
-		tokens := r.Output
-		if r.Hint > 0 {
-			tokens = min(tokens, r.Hint*hintFactor)
-		}
-		need += time.Duration(tokens) * tokenTime
+	switch {
+	case !r.stream():
+	case now >= time.Duration(f.careful.Load()):
+		need += time.Duration(r.Output) * slowTokenTime
+	case r.Hint > 0:
+		need += time.Duration(min(r.Output, r.Hint*hintFactor)) * tokenTime
+	default:
+		need += time.Duration(r.Output) * tokenTime
 	}
-	return min(r.end, f.Timer.Now()+need)
+	return min(r.end, now+need)
 }
 
 // until returns a context that ends at a time of the timer's clock.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -301,3 +301,36 @@
 		}
 	}
 }
+
+// TestStopping takes work while the process stops only if it ends before the process does.
+func TestStopping(t *testing.T) {
+	clock := &timer.Service{Clock: &timer.Manual{}}
+	clock.Advance(time.Hour)
+	f := &Forwarder{Timer: clock}
+	work := func(kind schema.RouteKind, output, hint int64) *Request {
+		return &Request{route: &schema.Route{Kind: kind, Objective: 1}, Output: output, Hint: hint, end: clock.Now() + time.Minute}
+	}
+	stream, plain := schema.RouteKind_ROUTE_STREAM, schema.RouteKind_ROUTE_SAFE
+	if f.endsTooLate(work(stream, 1e6, 0)) {
+		t.Error("a host that does not stop refuses")
+	}
+	f.Stop(clock.Now() + 7*time.Second)
+	for _, c := range []struct {
+		name string
+		work *Request
+		late bool
+		wait time.Duration
+	}{
+		{"a plain call", work(plain, 0, 0), false, 0},
+		{"a stream that is hinted to be short", work(stream, 900, 100), false, 0},
+		{"a long stream", work(stream, 900, 800), true, 0},
+		{"a hint is not relied on later", work(stream, 900, 100), true, 3 * time.Second},
+		{"a short stream, later", work(stream, 100, 100), false, 0},
+		{"a plain call just before the end", work(plain, 0, 0), true, 3500 * time.Millisecond},
+	} {
+		clock.Advance(c.wait)
+		if got := f.endsTooLate(c.work); got != c.late {
+			t.Errorf("%s: refused %v, want %v", c.name, got, c.late)
+		}
+	}
+}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -64,6 +64,7 @@
 	number  uint64
 	failed  map[string]time.Duration
 	lost    bool
+	ready   bool // as last reported
 }
 
 // Run refreshes until ctx ends.
@@ -75,6 +76,8 @@
 		pause := interval
 		if err := r.refresh(ctx); err != nil {
 			pause = retryPause
+		} else if r.Self().Ready != r.ready {
+			pause = 0 // others should hear at once
 		}
 		r.wait(ctx, pause)
 	}
@@ -144,6 +147,7 @@
 	}
 	self := r.Self()
 	r.number++
+	r.ready = self.Ready
 	self.Number = r.number
 	self.Demands, self.Allotment = r.Bucket.Report(r.expected())
 	current := r.Distributor.Current()
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -35,9 +35,9 @@
 	// Part of the grace that is left unused.
 	graceMargin = 400 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
-	// Part of the grace, as a divisor, within which a stopping host is still named where no
-	// other host of its region is ready.
-	stoppingPart = 2
+	// Time before the end of its grace at which a stopping host is no longer named, although
+	// no other of its region is ready.
+	stoppingMargin = time.Second
 )
 
 // Entry is an entry host. Set the exported fields, then call Run.
@@ -173,7 +173,7 @@
 func (e *Entry) Resolve(region string) []string {
 	peers := e.withSelf(region, e.Table.Ready(region))
 	if len(peers) == 0 {
-		peers = e.Table.Stopping(region, e.Grace/stoppingPart)
+		peers = e.Table.Stopping(region, e.Grace-stoppingMargin)
 	}
 	if len(peers) == 0 {
 		peers = e.withSelf("", e.Table.Ready(""))
