--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	interval    = 400 * time.Millisecond
-	callTimeout = 700 * time.Millisecond
+	interval     = 400 * time.Millisecond
+	busyInterval = 200 * time.Millisecond
+	callTimeout  = 700 * time.Millisecond
 	// Pause after a question that was not answered.
 	retryPause = 60 * time.Millisecond
 	// Age of the certainty at which another control host is asked, even though this one
@@ -48,6 +49,9 @@
 	Distributor *distributor.Distributor
 	Table       *cataloger.Table
 	Bucket      *allocator.Bucket
+	// Busy reports whether this host has so much under way that others should hear of it
+	// more often. Nil: never.
+	Busy func() bool
 	// Loaded is called after each answer with what others have under way.
 	Loaded func(loads []*schema.PoolLoad, digests []*schema.RegionDigest)
 
@@ -73,7 +77,7 @@
 	stop := r.Timer.Every(sweepTime, func() { r.Table.Sweep(false) })
 	defer stop()
 	for ctx.Err() == nil {
-		pause := interval
+		pause := r.pause()
 		if err := r.refresh(ctx); err != nil {
 			pause = retryPause
 		} else if r.Self().Ready != r.ready {
@@ -84,6 +88,14 @@
 	return nil
 }
 
+// pause is the time to the next report: shorter where other hosts must know of much work.
+func (r *Refresher) pause() time.Duration {
+	if r.Busy != nil && r.Busy() {
+		return busyInterval
+	}
+	return interval
+}
+
 // Init makes Kick usable. Call it before Run and Kick.
 func (r *Refresher) Init() { r.kick = make(chan struct{}, 1) }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -331,6 +331,9 @@
 		u.reading -= p.reading
 	}
 	u.note(o, now)
+	if o == Answered {
+		u.residence += time.Duration(learnWeight * float64(now-p.begun-u.residence))
+	}
 	q := s.pool(p.work.Pool)
 	if q.freed > 0 {
 		q.release += (now - q.freed - q.release) / releaseWeight
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -24,6 +24,8 @@
 	memoryPart = 0.92
 	// Requests beyond its slots that a plain service may hold, as a part of the slots.
 	serviceQueue = 0.5
+	// Requests beyond its slots that an engine may hold, as a part of the slots.
+	engineQueue = 0.25
 	// Weight of a failure in an upstream's failure rate.
 	failWeight = 0.25
 	// Failure rate above which careful work avoids an upstream.
@@ -79,8 +81,9 @@
 	otherReading int64
 	// factor is how much longer first tokens take than predicted.
 	factor float64
-	// service is the average time of a plain answer.
-	service time.Duration
+	// service is the average time of a plain answer, residence that of a request at an engine.
+	service   time.Duration
+	residence time.Duration
 	cache   cache
 	// sign is when something last came from it.
 	sign time.Duration
@@ -304,7 +307,14 @@
 	if engine == nil {
 		return u.predictService(w, running)
 	}
-	if running >= int(engine.Slots) || !u.fits(w, engine, running) {
+	slots := int(engine.Slots)
+	// Where its shared parts are cached a request may wait for a slot: to read them
+	// elsewhere takes longer, and the engines' time.
+	queue := 0
+	if preferred && len(w.Parts) > 1 {
+		queue = int(float64(slots) * engineQueue)
+	}
+	if running >= slots+queue || !u.fits(w, engine, running) {
 		return nil
 	}
 	uncached, cached := u.cache.missing(w.Parts, w.Input)
@@ -316,6 +326,9 @@
 	}
 	backlog := u.reading + u.otherReading
 	expected := time.Duration(float64(firstOverhead+readTime(uncached+backlog)) * u.factor)
+	if running >= slots {
+		expected += u.residence * time.Duration(running+1-slots) / time.Duration(slots)
+	}
 	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > room && w.Objective > now {
 		return nil
 	}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -35,6 +35,8 @@
 	// Part of the grace that is left unused.
 	graceMargin = 400 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
+	// Requests under way at which other hosts hear of this one's load more often.
+	busyRequests = 8
 	// Time before the end of its grace at which a stopping host is no longer named, although
 	// no other of its region is ready.
 	stoppingMargin = time.Second
@@ -88,6 +90,7 @@
 	e.refresher = &refresher.Refresher{
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Seeds: e.Seeds, Self: e.self,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, Loaded: e.loaded,
+		Busy: func() bool { return e.Forwarder.Inflight() >= busyRequests },
 	}
 	e.refresher.Init()
 	e.Retries.Now = e.Timer.Now
