--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -52,6 +52,9 @@
 // Operator runs trefoilctl and returns its exit status: 0 done, 1 refused or failed,
 // 2 bad command line, 3 outcome unknown.
 func Operator(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == traceCommand {
+		return traceRequest(args[1:], stdout, stderr)
+	}
 	app := kingpin.New("trefoilctl", "The operators' command-line client.")
 	app.UsageWriter(stdout).ErrorWriter(stderr)
 	o := &operator{stdout: stdout, stderr: stderr}
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -61,7 +61,7 @@
 	wish := over.Missing + min(over.Missing, over.Pace*borrowAhead.Seconds())
 	tokens, retry, err := f.Borrow(ctx, over.Customer, over.Missing, wish)
 	if err != nil {
-		return errors.Join(refuse(http.StatusServiceUnavailable, causeNoLender, staleRetry), err)
+		return &Refusal{Status: http.StatusServiceUnavailable, Cause: causeNoLender, Retry: staleRetry, Err: err}
 	}
 	f.Bucket.Lent(over.Customer, tokens, max(retry, borrowPause))
 	return nil
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -17,6 +18,8 @@
 	Cause  string
 	// Retry is when the caller may come back; 0: not stated.
 	Retry time.Duration
+	// Err is what led to it, for the log only; nil: the cause says all.
+	Err error
 }
 
 // Error returns the cause.
@@ -35,7 +38,9 @@
 	causeNoHome     = "no region that may serve it can be reached"
 	causeTimeout    = "the time limit passed"
 	causeLost       = "the upstream's answer was lost"
-	causeBudget     = "the upstream refused and no more retries are allowed"
+	causeTurned     = "the upstream turned the request away"
+	causeRelay      = "another region's host failed"
+	causeUnreached  = "the upstream cannot be reached"
 	causeStopping   = "the host is stopping"
 )
 
@@ -71,7 +76,20 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		return refuse(http.StatusServiceUnavailable, causeTimeout, 0)
 	}
-	return refuse(http.StatusServiceUnavailable, err.Error(), refusedRetry)
+	return &Refusal{Status: http.StatusServiceUnavailable, Cause: causeOf(err), Retry: refusedRetry, Err: err}
+}
+
+// causeOf names the failure of a try: few words, none of which tell a caller of our hosts.
+func causeOf(err error) string {
+	switch {
+	case errors.Is(err, errNotRun), errors.Is(err, errElsewhere):
+		return causeTurned
+	case errors.Is(err, pooler.ErrNotSent):
+		return causeUnreached
+	case errors.Is(err, errRelay):
+		return causeRelay
+	}
+	return causeLost
 }
 
 // final returns a refusal that is true of a request: one that may have run is not said
@@ -80,8 +98,9 @@
 	if !r.unsure {
 		return f
 	}
+	status := http.StatusBadGateway
 	if f.Cause == causeTimeout {
-		return refuse(http.StatusGatewayTimeout, f.Cause, 0)
+		status = http.StatusGatewayTimeout
 	}
-	return refuse(http.StatusBadGateway, f.Cause, 0)
+	return &Refusal{Status: status, Cause: f.Cause, Err: f.Err}
 }
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -59,7 +59,7 @@
 func (t *trace) refuse(sink Sink, x *Refusal) {
 	t.f.Metrics.refused.WithLabelValues(x.Cause).Inc()
 	certainty, _ := t.f.Age()
-	t.line(t.f.Log.Info()).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.Retry).
+	t.line(t.f.Log.Info()).Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.Retry).
 		Dur("certainty", certainty).Float64("tokens", t.r.tokens).Bool("unsure", t.r.unsure).Msg("refused")
 	sink.Refuse(x)
 }
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -84,7 +84,7 @@
 	// service is the average time of a plain answer, residence that of a request at an engine.
 	service   time.Duration
 	residence time.Duration
-	cache   cache
+	cache     cache
 	// sign is when something last came from it.
 	sign time.Duration
 	// failures is the rate of failures; banned is until when the upstream is passed over.
