--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// Longest time that a question for tokens may take.
-	borrowTimeout = 450 * time.Millisecond
+	// Longest time that a question for tokens may take: the way to another region and back,
+	// and one retransmission.
+	borrowTimeout = 800 * time.Millisecond
 	// Longest time that a request waits for tokens, as a part of its objective.
 	borrowPart = 0.35
 	// Time of a customer's spending that is borrowed ahead.
