Keep engines' queues short; what can still be in time goes first

Now half of the objective is the bound, and a route's longest stated time limit tells how long ago a caller first asked. Ruled out: refusing less (the engines were full).

--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -34,7 +34,8 @@
 		r.rank = int(*r.customer.Priority)
 	}
 	r.regions = homes(r.route, r.customer)
-	r.objected = r.Arrived + seconds(r.route.Objective)
+	waited := f.limits.elapsed(r.route.Name, r.Deadline-r.Arrived, r.Arrived)
+	r.objected = r.Arrived + seconds(r.route.Objective) - waited
 	r.end = min(r.Deadline, r.Arrived+seconds(r.route.Timeout))
 	return nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -45,8 +45,9 @@
 	index    atomic.Pointer[index]
 	mu       sync.Mutex
 	others   []*schema.RegionDigest // guarded by mu
-	stopping atomic.Int64           // boot time at which the process ends; 0: it does not stop
-	careful  atomic.Int64           // boot time from which work is taken only if it surely ends before
+	limits   limits
+	stopping atomic.Int64 // boot time at which the process ends; 0: it does not stop
+	careful  atomic.Int64 // boot time from which work is taken only if it surely ends before
 	inflight atomic.Int64
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -331,3 +331,20 @@
 		}
 	}
 }
+
+// TestElapsed learns how long callers wait from their first attempt on, and tells how long
+// ago one first asked that states less.
+func TestElapsed(t *testing.T) {
+	l := &limits{}
+	for _, c := range []struct {
+		left, now, want time.Duration
+	}{
+		{5 * time.Second, 0, 0}, {4 * time.Second, time.Second, time.Second}, {5 * time.Second, 2 * time.Second, 0},
+		{6 * time.Second, 3 * time.Second, 0}, {4 * time.Second, 70 * time.Second, 2 * time.Second},
+		{4 * time.Second, 140 * time.Second, 0}, // nobody has stated more for a while
+	} {
+		if got := l.elapsed("r", c.left, c.now); got != c.want {
+			t.Errorf("%v left at %v: got %v, want %v", c.left, c.now, got, c.want)
+		}
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -53,7 +53,7 @@
 	now := f.Timer.Now()
 	m := &schema.RelayRequest{
 		Id: r.ID, Route: r.Host, Customer: r.Customer(), Method: r.Method, Path: r.Path, Body: r.Body,
-		Left: (r.end - now).Seconds(), Age: (now - r.Arrived).Seconds(), Pool: r.pool,
+		Left: (r.end - now).Seconds(), Age: (now - r.Arrived).Seconds(), Objective: (r.objected - now).Seconds(), Pool: r.pool,
 		Input: r.Input, Output: r.Output, Priority: int32(r.rank), Model: r.Model, Version: r.version,
 	}
 	for name, values := range r.Header {
@@ -183,7 +183,7 @@
 		}
 	}
 	r.regions = homes(r.route, r.customer)
-	r.objected = r.Arrived + seconds(r.route.Objective)
+	r.objected = now + seconds(m.Objective)
 	r.end = min(r.Deadline, r.Arrived+seconds(r.route.Timeout))
 	serves := slices.ContainsFunc(r.route.Targets, func(t *schema.Target) bool { return t.Pool == r.pool && t.Weight > 0 })
 	if !serves || !r.allows(f.Region) {
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -74,6 +74,14 @@
 	return why
 }
 
+// latePart is the part of the objective that must be left for a request to be in time.
+const latePart = 0.25
+
+// late reports whether the request was late, or nearly, when it arrived here.
+func (r *Request) late() bool {
+	return r.objected-r.Arrived < time.Duration(latePart*float64(seconds(r.route.Objective)))
+}
+
 // work returns what the scheduler decides by.
 func (r *Request) work(excluded map[string]bool) *scheduler.Work {
 	output := r.Output
@@ -82,6 +90,6 @@
 	}
 	return &scheduler.Work{
 		Pool: r.pool, Parts: r.Parts, Input: r.Input, Output: output, Rank: r.rank,
-		Objective: r.objected, Deadline: r.end, Careful: !r.repeatable(), Excluded: excluded,
+		Objective: r.objected, Deadline: r.end, Late: r.late(), Careful: !r.repeatable(), Excluded: excluded,
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 	lookAhead = 12
 	// Part of its objective for which a request waits at most: longer, and its answer would
 	// be late anyway, while another host may have a place.
-	waitPart = 0.5
+	waitPart = 0.35
 	// Shortest time after which a refused caller is told to come back.
 	shortestRetry = 100 * time.Millisecond
 	longestRetry  = 3 * time.Second
@@ -65,6 +65,8 @@
 	Rank int
 	// Objective and Deadline are times of the timer's clock.
 	Objective, Deadline time.Duration
+	// Late says that the objective had passed, or nearly, when the request arrived.
+	Late bool
 	// Careful asks for an upstream without recent failures: the work cannot be repeated.
 	Careful bool
 	// Excluded names upstreams that failed for this request.
@@ -179,9 +181,17 @@
 	return x, nil
 }
 
-// order sorts waiting work: by rank, then by objective.
+// order sorts waiting work: by rank, then what can still be in time before what cannot,
+// then by objective.
 func order(a, b *Work) int {
-	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Objective, b.Objective), -1)
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), late(a)-late(b), cmp.Compare(a.Objective, b.Objective), -1)
+}
+
+func late(w *Work) int {
+	if w.Late {
+		return 1
+	}
+	return 0
 }
 
 // ahead reports whether a waiting request goes before w.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -293,3 +293,31 @@
 		t.Errorf("%d still wait", n)
 	}
 }
+
+// TestBurstLeavesShortQueues offers five times what one engine can read for two seconds.
+// What is taken must be expected within half of its objective, and what is late already
+// must not go before what can be in time.
+func TestBurstLeavesShortQueues(t *testing.T) {
+	s := newScheduler(engines(1)...)
+	taken := 0
+	for i := range 200 {
+		s.Timer.Advance(10 * time.Millisecond)
+		w := s.prompt(fmt.Sprint("subject", i), 1_500, time.Second)
+		p := s.now(w)
+		if p == nil {
+			continue
+		}
+		taken++
+		if p.Expected > 500*time.Millisecond {
+			t.Fatalf("request %d is taken although its first token is expected in %v", i, p.Expected)
+		}
+	}
+	if taken == 0 {
+		t.Error("nothing is taken")
+	}
+	early, behind := s.prompt("a", 10, time.Second), s.prompt("b", 10, 100*time.Millisecond)
+	behind.Late = true
+	if order(early, behind) >= 0 || order(behind, early) <= 0 {
+		t.Error("what is late goes first")
+	}
+}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -46,7 +46,9 @@
 	sampleSize = 4
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
-	roomPart = 0.8
+	roomPart = 0.5
+	// The same for requests that are late already.
+	lateRoom = 150 * time.Millisecond
 )
 
 // Outcome is how a request fared at an upstream.
@@ -329,7 +331,7 @@
 	if running >= slots {
 		expected += u.residence * time.Duration(running+1-slots) / time.Duration(slots)
 	}
-	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > room && w.Objective > now {
+	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > max(room, lateRoom) {
 		return nil
 	}
 	reread := readTime(max(0, uncached-ownTokens(w)))
