--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -155,6 +155,8 @@
 	r.sent++
 	r.arrived++
 	if err != nil {
+		// What broke this connection may have broken the idle ones.
+		f.Pool.Forget(place.Address)
 		r.unsure = true
 		return errors.Join(errFailed, err)
 	}
