Leave a source of the configuration that hears of no control host

Cause (TestFrozenLeader, now and then beside load; 1 of 2 and 1 of 3 runs here): each frozen leader makes every entry host take the next source; after the third the next one is the other host of the region, whose next one is this host. The two follow each other for ever: neither falls silent, neither has anything new. Seen in metrics: version 19 and 3 changes of source at all six hosts, version 20 at both control hosts that ran. Ruled out: reports that do not reach the leader (the hosts themselves were at 19), the control hosts' distributors. A reply now carries its age since a control host; a source older than 5 s is left.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -149,7 +149,7 @@
 	c := &controller.Controller{
 		Settings: settings, Timer: clock, Dialer: dial, Log: log,
 		Store:       &persister.Store{Folder: controlFolder(settings), Points: prober.FromEnvironment()},
-		Distributor: &distributor.Distributor{Timer: clock},
+		Distributor: &distributor.Distributor{Timer: clock, Root: true},
 	}
 	if err := c.Open(); err != nil {
 		return err
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -18,8 +18,15 @@
 	recentLimit = 512
 	// IdleInterval is the longest time between two replies to a follower.
 	IdleInterval = 500 * time.Millisecond
+	// Age of what a source has from the control hosts at which it is left: two silent
+	// intervals of a source, and one more hop.
+	staleLimit = 5 * time.Second
 )
 
+// ErrStale says that a source has not heard from a control host for too long: it may follow
+// hosts that follow it in turn.
+var ErrStale = errors.New("distributor: the source hears of no control host")
+
 // ErrDiverged says that a source holds another configuration under the same version.
 var ErrDiverged = errors.New("distributor: same version, other content")
 
@@ -27,6 +34,8 @@
 // before use.
 type Distributor struct {
 	Timer *timer.Service
+	// Root is set at control hosts, which follow nobody.
+	Root bool
 	// Changed is called after each change with the lock not held, in order.
 	Changed func(*configurer.Snapshot)
 	// Store makes a new configuration durable before it is in force. Nil: no disk.
@@ -38,6 +47,24 @@
 	current *configurer.Snapshot // guarded by mu
 	recent  []*schema.Delta      // guarded by mu; ends at current
 	news    chan struct{}        // guarded by mu; closed on each change
+	heard   time.Duration        // when a control host said what this process has; guarded by mu
+}
+
+// Age returns how long ago a control host is known to have sent what this process has.
+func (d *Distributor) Age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Root {
+		return 0
+	}
+	return d.Timer.Now() - d.heard
+}
+
+// hear notes how old a source's word was when it arrived.
+func (d *Distributor) hear(age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard = max(d.heard, d.Timer.Now()-age)
 }
 
 // Current returns the configuration in force. Before the first one it is empty, version 0.
@@ -130,7 +157,11 @@
 }
 
 // Serve sends a follower what it lacks, then every change, until ctx ends or send fails.
-func (d *Distributor) Serve(ctx context.Context, r *schema.WatchRequest, send func(*schema.WatchReply) error) error {
+func (d *Distributor) Serve(ctx context.Context, r *schema.WatchRequest, transmit func(*schema.WatchReply) error) error {
+	send := func(reply *schema.WatchReply) error {
+		reply.Age = int64(d.Age())
+		return transmit(reply)
+	}
 	version, hash := r.Version, r.Hash
 	for {
 		current, deltas, news := d.read(version)
@@ -177,8 +208,12 @@
 }
 
 // Take puts one reply of a source in force. It reports whether the stream must be opened
-// again to get the whole snapshot.
+// again to get the whole snapshot. ErrStale says that another source should be followed.
 func (d *Distributor) Take(reply *schema.WatchReply) (again bool, err error) {
+	if age := time.Duration(reply.Age); age > staleLimit {
+		return false, fmt.Errorf("%w: for %v", ErrStale, age)
+	}
+	d.hear(time.Duration(reply.Age))
 	switch {
 	case reply.Snapshot != nil:
 		return false, d.Replace(configurer.FromMessage(reply.Snapshot))
