--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -34,7 +34,7 @@
 		r.rank = int(*r.customer.Priority)
 	}
 	r.regions = homes(r.route, r.customer)
-	waited := f.limits.elapsed(r.route.Name, r.Deadline-r.Arrived, r.Arrived)
+	waited := f.limits.elapsed(r.route.Name, r.Deadline-r.Arrived)
 	r.objected = r.Arrived + seconds(r.route.Objective) - waited
 	r.end = min(r.Deadline, r.Arrived+seconds(r.route.Timeout))
 	return nil
--- a/internal/forwarder/lateness.go
+++ b/internal/forwarder/lateness.go
@@ -1,42 +1,44 @@
 package forwarder
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// Time after which the longest time limit of a route's callers is learned anew.
-const limitMemory = time.Minute
+// Requests of a route whose stated time limits are remembered.
+const limitSamples = 31
 
 // limits learns how long callers of each route wait from their first attempt on: the
-// longest time limit that they state. A caller that comes back states what is left of it.
+// median of the time limits that they state. A caller that comes back states what is left
+// of it; a few wait longer than others.
 type limits struct {
 	mu     sync.Mutex
-	routes map[string]*longest // guarded by mu
+	routes map[string]*samples // guarded by mu
 }
 
-// longest is the maximum of the present and of the last period.
-type longest struct {
-	now, before time.Duration
-	since       time.Duration
+// samples are the newest stated time limits, in a ring.
+type samples struct {
+	ring [limitSamples]time.Duration
+	n    int
 }
 
 // elapsed returns how long ago a caller that states a time limit first asked, as far as
 // that can be told.
-func (l *limits) elapsed(route string, left, now time.Duration) time.Duration {
+func (l *limits) elapsed(route string, left time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.routes == nil {
-		l.routes = map[string]*longest{}
+		l.routes = map[string]*samples{}
 	}
 	x := l.routes[route]
 	if x == nil {
-		x = &longest{since: now}
+		x = &samples{}
 		l.routes[route] = x
 	}
-	if now-x.since > limitMemory {
-		x.before, x.now, x.since = x.now, 0, now
-	}
-	x.now = max(x.now, left)
-	return max(x.now, x.before) - left
+	x.ring[x.n%limitSamples] = left
+	x.n++
+	known := slices.Clone(x.ring[:min(x.n, limitSamples)])
+	slices.Sort(known)
+	return max(0, known[len(known)/2]-left)
 }
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -130,7 +130,11 @@
 	if running >= slots {
 		expected += u.residence * time.Duration(running+1-slots) / time.Duration(slots)
 	}
-	if room := time.Duration(float64(w.Objective-now) * roomPart); backlog > 0 && expected > max(room, lateRoom) {
+	part := roomPart
+	if preferred {
+		part = preferredRoom
+	}
+	if room := time.Duration(float64(w.Objective-now) * part); backlog > 0 && expected > max(room, lateRoom) {
 		return nil
 	}
 	reread := readTime(max(0, uncached-ownTokens(w)))
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -44,6 +44,9 @@
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
 	roomPart = 0.5
+	// The same at the upstream that holds the shared parts: to read them elsewhere costs the
+	// engines more than the wait costs the caller.
+	preferredRoom = 0.75
 	// The same for requests that are late already.
 	lateRoom = 150 * time.Millisecond
 )
