--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -124,6 +124,7 @@
 			defer cancel()
 			client, err := k.client(address)
 			if err != nil {
+				k.c.Log.Warn().Err(err).Str("address", address).Msg("control host has no usable address")
 				return
 			}
 			reply, err := client.Knock(ctx, &schema.KnockRequest{Member: k.Self, First: k.First})
@@ -217,6 +218,7 @@
 	defer cancel()
 	client, err := k.client(leader)
 	if err != nil {
+		k.note(true, leader, err)
 		return
 	}
 	if leader != k.lastTold {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -47,7 +47,7 @@
 	others   []*schema.RegionDigest // guarded by mu
 	limits   limits
 	stopping atomic.Int64 // boot time at which the process ends; 0: it does not stop
-	careful  atomic.Int64 // boot time from which work is taken only if it surely ends before
+	strict   atomic.Int64 // boot time from which work is taken only if it surely ends before
 	inflight atomic.Int64
 }
 
@@ -72,7 +72,7 @@
 
 // Stop says that the process ends at a time: work that would not end before it is refused.
 func (f *Forwarder) Stop(at time.Duration) {
-	f.careful.Store(int64(f.Timer.Now() + hopefulTime))
+	f.strict.Store(int64(f.Timer.Now() + estimateTime))
 	f.stopping.Store(int64(at))
 }
 
@@ -122,9 +122,9 @@
 	tokenTime = 8 * time.Millisecond
 	// The same at an engine whose slots are all taken.
 	slowTokenTime = 20 * time.Millisecond
-	// Time after the signal to stop in which the estimate may be wrong: most of the grace is
-	// left.
-	hopefulTime = 2500 * time.Millisecond
+	// Time after the signal to stop in which the estimate may be wrong, since most of the grace
+	// is left.
+	estimateTime = 2500 * time.Millisecond
 	// Callers' hints of the length of an answer hold at the median; few exceed twice that.
 	hintFactor = 2
 )
@@ -135,7 +135,7 @@
 	need := seconds(r.route.Objective)
 	switch {
 	case !r.stream():
-	case now >= time.Duration(f.careful.Load()):
+	case now >= time.Duration(f.strict.Load()):
 		need += time.Duration(r.Output) * slowTokenTime
 	case r.Hint > 0:
 		need += time.Duration(min(r.Output, r.Hint*hintFactor)) * tokenTime
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -232,14 +232,16 @@
 
 // Abort ends the stream without the mark.
 func (s *relaySink) Abort() {
-	_ = s.stream.Send(&schema.RelayReply{Failure: &schema.Failure{Status: http.StatusBadGateway, Cause: causeLost}})
+	broken := &schema.Failure{Status: http.StatusBadGateway, Cause: causeLost}
+	_ = s.stream.Send(&schema.RelayReply{Failure: broken}) // a host that does not get it sees the stream end
 }
 
 // Refuse sends why there is no answer.
 func (s *relaySink) Refuse(f *Refusal) {
 	notRun := f.Status == http.StatusServiceUnavailable || f.Status == http.StatusTooManyRequests
-	_ = s.stream.Send(&schema.RelayReply{Failure: &schema.Failure{
+	failure := &schema.Failure{
 		Status: int32(f.Status), Cause: f.Cause, Retry: f.Retry.Seconds(), Notrun: notRun,
 		Sent: int32(s.request.sent), Arrived: int32(s.request.arrived),
-	}})
+	}
+	_ = s.stream.Send(&schema.RelayReply{Failure: failure}) // a host that does not get it sees the stream end
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -295,8 +295,7 @@
 	return o
 }
 
-// Alive reports whether anything came from the upstream since the place was taken, and
-// notes nothing.
+// Alive reports whether anything came from the upstream since the place was taken.
 func (p *Place) Alive() bool {
 	s := p.scheduler
 	s.mu.Lock()
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -95,7 +95,7 @@
 	return err
 }
 
-// Collectors returns the metrics of the process. Valid after Run has begun to serve.
+// Controller returns the control host's log. Valid once Listeners is called.
 func (c *Control) Controller() *controller.Controller { return c.controller }
 
 // found gives an empty disk an identity. At the first start the seeds are the first
