--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -173,6 +174,13 @@
 	return strings.TrimPrefix(h.URL, "http://")
 }
 
+// seen returns the requests that arrived at upstreams, in order.
+func (s *system) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 func (s *system) call(path, key string) result {
 	now := s.Timer.Now()
 	sink := &recorderSink{}
@@ -224,7 +232,7 @@
 		if diff := cmp.Diff(c.want, got); diff != "" {
 			t.Errorf("%s: -want +got\n%s", c.name, diff)
 		}
-		if diff := cmp.Diff(c.arrivals, s.arrivals); diff != "" {
+		if diff := cmp.Diff(c.arrivals, s.seen()); diff != "" {
 			t.Errorf("%s: arrivals: -want +got\n%s", c.name, diff)
 		}
 	}
