Take late work at a stopping host only with room for the way through another region

Ruled out: a lost answer upstream (it came back 38 ms after the host had ended). Later than 2.5 s after the signal a request now needs twice its objective and 0.6 s.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -122,6 +122,8 @@
 	tokenTime = 8 * time.Millisecond
 	// The same at an engine whose slots are all taken.
 	slowTokenTime = 20 * time.Millisecond
+	// Time that the way through another region takes at most, a new connection included.
+	relayTime = 600 * time.Millisecond
 	// Time after the signal to stop in which the estimate may be wrong, since most of the grace
 	// is left.
 	estimateTime = 2500 * time.Millisecond
@@ -134,9 +136,12 @@
 	now := f.Timer.Now()
 	need := seconds(r.route.Objective)
 	switch {
-	case !r.stream():
 	case now >= time.Duration(f.strict.Load()):
-		need += time.Duration(r.Output) * slowTokenTime
+		need += need + relayTime
+		if r.stream() {
+			need += time.Duration(r.Output) * slowTokenTime
+		}
+	case !r.stream():
 	case r.Hint > 0:
 		need += time.Duration(min(r.Output, r.Hint*hintFactor)) * tokenTime
 	default:
