Wait for slow engines instead of reading prompts twice; stay where shared parts are cached

The learned factor followed waits behind other hosts' work, which it then multiplied.

A try is given up after twice the time within which 95 of 100 first tokens of the pool come; the factor is a low quantile; reading shared parts again weighs more. A placement's log line says why the agreed engine was passed over, an answer's when its first token came.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -363,3 +363,22 @@
 		}
 	}
 }
+
+// TestSlowIsNotLost sets how long a first sign of an answer is waited for. Beside full
+// engines, whose answers come late, giving up only makes them read the prompt again.
+func TestSlowIsNotLost(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		slow, left  time.Duration
+		least, most time.Duration
+	}{
+		{"calm", 100 * time.Millisecond, 5 * time.Second, 400 * time.Millisecond, time.Second},
+		{"full engines", 1200 * time.Millisecond, 5 * time.Second, 1200 * time.Millisecond, 2500 * time.Millisecond},
+		{"nothing seen yet", 0, 5 * time.Second, 400 * time.Millisecond, time.Second},
+		{"little time left", 1200 * time.Millisecond, time.Second, 0, 500 * time.Millisecond},
+	} {
+		if got := tryLimit(time.Second, c.slow, c.left); got < c.least || got > c.most {
+			t.Errorf("%s: an answer is waited for %v, want %v to %v", c.name, got, c.least, c.most)
+		}
+	}
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
@@ -21,8 +22,9 @@
 	begun bool
 	// last is the id of the last whole event that the caller has.
 	last string
-	// events counts them.
+	// events counts them. first is when the head went out, from the request's arrival.
 	events int
+	first  time.Duration
 	// spare is an upstream's failure, for the caller if nothing better comes.
 	spare *spare
 	// stopTry ends the time limit of the first sign of an answer.
@@ -46,14 +48,14 @@
 		if at := lastEventEnd(held); at > 0 {
 			place.First()
 			place.Sign()
-			if err := f.passEvents(sink, s, call, held[:at]); err != nil {
+			if err := f.passEvents(r, sink, s, call, held[:at]); err != nil {
 				return err
 			}
 			held = append(held[:0], held[at:]...)
 		}
 		switch {
 		case err == io.EOF && len(held) == 0:
-			f.begin(sink, s, call)
+			f.begin(r, sink, s, call)
 			sink.Finish()
 			return nil
 		case err != nil:
@@ -62,19 +64,20 @@
 	}
 }
 
-func (f *Forwarder) begin(sink Sink, s *relayState, call *pooler.Call) {
+func (f *Forwarder) begin(r *Request, sink Sink, s *relayState, call *pooler.Call) {
 	if s.begun {
 		return
 	}
 	s.begun = true
+	s.first = f.Timer.Now() - r.Arrived
 	if s.stopTry != nil {
 		s.stopTry()
 	}
 	sink.Head(call.Response.StatusCode, f.Dialect.Pass(call.Response.Header), -1)
 }
 
-func (f *Forwarder) passEvents(sink Sink, s *relayState, call *pooler.Call, events []byte) error {
-	f.begin(sink, s, call)
+func (f *Forwarder) passEvents(r *Request, sink Sink, s *relayState, call *pooler.Call, events []byte) error {
+	f.begin(r, sink, s, call)
 	if id := lastID(events); id != "" {
 		s.last = id
 	}
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -36,6 +36,7 @@
 	t.f.Metrics.waited.Observe(wait.Seconds())
 	t.line(t.f.Log.Info()).Str("upstream", p.Name).Str("address", p.Address).Dur("waited", wait).
 		Dur("expected", p.Expected).Str("shared", t.r.shared()).Int64("cached", p.Cached).Int64("input", t.r.Input).Int("running", p.Running).
+		Bool("agreed", p.Agreed).Str("passed", string(p.Passed)).
 		Dur("certainty", certainty).Int("sent", t.r.sent).Msg("placed")
 }
 
@@ -44,7 +45,7 @@
 	if err == nil {
 		t.f.Metrics.answered.WithLabelValues(t.r.pool).Inc()
 		t.f.Metrics.latency.WithLabelValues(t.r.pool).Observe((t.f.Timer.Now() - t.r.Arrived).Seconds())
-		t.line(t.f.Log.Info()).Str("upstream", p.Name).Int("events", s.events).Msg("answered")
+		t.line(t.f.Log.Info()).Str("upstream", p.Name).Int("events", s.events).Dur("first", s.first).Msg("answered")
 		return
 	}
 	t.f.Metrics.failed.WithLabelValues(t.r.pool).Inc()
--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -18,8 +18,10 @@
 	// Shortest time that an upstream gets for its answer before a request that may be
 	// repeated is sent to another one.
 	shortestTry = 400 * time.Millisecond
-	// The same in multiples of the objective.
+	// The same in multiples of the objective, and of the time after which few answers are
+	// still to come: beside full engines a slow answer is not a lost one.
 	tryObjectives = 1.0
+	trySlow       = 2
 )
 
 // Errors of one try.
@@ -108,11 +110,11 @@
 	if !r.repeatable() || r.sent+1 >= int(r.route.Attempts) || s.begun {
 		return context.WithCancel(ctx)
 	}
-	limit := max(shortestTry, time.Duration(tryObjectives*float64(seconds(r.route.Objective))))
-	limit = min(limit, (r.end-f.Timer.Now())/2)
+	limit := tryLimit(seconds(r.route.Objective), place.Slow(), r.end-f.Timer.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.stopTry = f.Timer.Once(limit, func() {
 		if !place.Alive() {
+			place.Abandon()
 			cancel(errSlow)
 		}
 	})
@@ -123,6 +125,13 @@
 	}
 }
 
+// tryLimit is how long a first sign of an answer is waited for, given the time after which
+// few answers of the pool are still to come and what is left to the caller.
+func tryLimit(objective, slow, left time.Duration) time.Duration {
+	limit := max(shortestTry, time.Duration(tryObjectives*float64(objective)), trySlow*slow)
+	return min(limit, left/2)
+}
+
 var errSlow = errors.New("forwarder: the upstream does not answer")
 
 func outcomeOf(ctx context.Context, err error) scheduler.Outcome {
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -45,36 +46,61 @@
 	cost     time.Duration
 	uncached int64
 	cached   int64
+	// agreed says that hosts agree to send the shared parts there, passed why the upstream
+	// agreed on was not taken.
+	agreed bool
+	passed Reason
 }
 
-// best returns the upstream that has room at the least cost among a sample, else among
-// all, or nil. Hosts know of each other's work late: if each took the best of all, they
-// would all take the same.
+// Reason is why an upstream was passed over.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone   Reason = ""
+	ReasonCold   Reason = "cold"
+	ReasonSlots  Reason = "slots"
+	ReasonMemory Reason = "memory"
+	ReasonSlow   Reason = "slow"
+	ReasonDearer Reason = "dearer"
+)
+
+// best returns the upstream that has room at the least cost among a sample and the one
+// agreed on, else among all, or nil. Hosts know of each other's work late: if each took the
+// best of all, they would all take the same.
 func (s *Scheduler) best(w *Work, candidates []*upstream, now time.Duration) *option {
-	preferred := s.preferred(w, candidates)
 	var best *option
-	consider := func(u *upstream) {
-		if o := s.predict(w, u, u == preferred, now); o != nil && (best == nil || o.cost < best.cost) {
-			best = o
-		}
-	}
-	if preferred != nil {
-		consider(preferred)
+	passed := ReasonNone
+	agreed := agreed(w, candidates)
+	if agreed != nil {
+		best, passed = s.predict(w, agreed, true, now)
 	}
 	if len(candidates) > sampleSize {
 		for range sampleSize {
-			consider(candidates[s.random(len(candidates))])
+			o, _ := s.predict(w, candidates[s.random(len(candidates))], false, now)
+			best = cheaper(best, o)
 		}
 	}
-	if best != nil {
-		return best
+	if best == nil {
+		for _, u := range candidates {
+			o, _ := s.predict(w, u, false, now)
+			best = cheaper(best, o)
+		}
 	}
-	for _, u := range candidates {
-		consider(u)
+	if best != nil && agreed != nil && best.upstream != agreed {
+		best.passed = cmp.Or(passed, ReasonDearer)
 	}
 	return best
 }
 
+// cheaper returns the option that costs less; a is nil or came first.
+func cheaper(a, b *option) *option {
+	if a == nil || b != nil && b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
 func (s *Scheduler) random(n int) int {
 	if s.Random != nil {
 		return s.Random(n)
@@ -82,9 +108,9 @@
 	return rand.IntN(n)
 }
 
-// preferred returns the upstream at which all hosts agree that a shared prompt should be
+// agreed returns the upstream at which all hosts agree that a shared prompt should be
 // cached, nil without a shared part.
-func (s *Scheduler) preferred(w *Work, candidates []*upstream) *upstream {
+func agreed(w *Work, candidates []*upstream) *upstream {
 	if len(w.Parts) < 2 {
 		return nil
 	}
@@ -98,10 +124,10 @@
 	return best
 }
 
-// predict returns what to expect of an upstream, or nil if it has no room.
-func (s *Scheduler) predict(w *Work, u *upstream, preferred bool, now time.Duration) *option {
+// predict returns what to expect of an upstream, or why it has no room.
+func (s *Scheduler) predict(w *Work, u *upstream, agreed bool, now time.Duration) (*option, Reason) {
 	if !s.warmEnough(u, now) {
-		return nil
+		return nil, ReasonCold
 	}
 	running := u.running + u.otherRunning
 	engine := s.Config().Pool(w.Pool).GetEngine()
@@ -112,14 +138,17 @@
 	// Where its shared parts are cached a request may wait for a slot: to read them
 	// elsewhere takes longer, and the engines' time.
 	queue := 0
-	if preferred && len(w.Parts) > 1 {
+	if agreed {
 		queue = int(float64(slots) * engineQueue)
 	}
-	if running >= slots+queue || !u.fits(w, engine, running) {
-		return nil
+	if running >= slots+queue {
+		return nil, ReasonSlots
+	}
+	if !u.fits(w, engine, running) {
+		return nil, ReasonMemory
 	}
 	uncached, cached := u.cache.missing(w.Parts, w.Input)
-	if preferred {
+	if agreed {
 		// All hosts send its shared parts here, so they are cached although this host may
 		// not have sent them.
 		uncached = min(uncached, ownTokens(w))
@@ -131,21 +160,28 @@
 		expected += u.residence * time.Duration(running+1-slots) / time.Duration(slots)
 	}
 	part := roomPart
-	if preferred {
-		part = preferredRoom
+	if agreed {
+		part = agreedRoom
 	}
 	if room := time.Duration(float64(w.Objective-now) * part); backlog > 0 && expected > max(room, lateRoom) {
-		return nil
+		return nil, ReasonSlow
 	}
 	reread := readTime(max(0, uncached-ownTokens(w)))
 	cost := expected + time.Duration(float64(reread)*rereadWeight*u.factor) + time.Duration(running)*runningCost
-	return &option{upstream: u, expected: expected, cost: cost, uncached: uncached, cached: cached}
+	return &option{upstream: u, expected: expected, cost: cost, uncached: uncached, cached: cached, agreed: agreed}, ReasonNone
 }
 
 func readTime(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / firstReadRate * float64(time.Second))
 }
 
+// SharedPart returns how much longer an engine is taken if the shared parts must be read
+// there, as a part of what the request takes besides.
+func (w *Work) SharedPart() float64 {
+	own := ownTokens(w)
+	return float64(readTime(w.Input-own)) / float64(max(1, readTime(own)+time.Duration(w.Output)*firstTokenTime))
+}
+
 // ownTokens returns the tokens of a prompt that no other request shares.
 func ownTokens(w *Work) int64 {
 	if len(w.Parts) == 0 {
@@ -154,10 +190,10 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
-func (u *upstream) predictService(w *Work, running int) *option {
+func (u *upstream) predictService(w *Work, running int) (*option, Reason) {
 	slots := max(1, int(u.said.Slots))
 	if running >= slots+int(float64(slots)*serviceQueue) {
-		return nil
+		return nil, ReasonSlots
 	}
 	service := u.service
 	if service == 0 {
@@ -168,7 +204,7 @@
 	// Among upstreams that would answer alike, the one with the fewest requests.
 	expected += time.Duration(running) * time.Millisecond
 	expected = time.Duration(float64(expected) * (1 + u.failures))
-	return &option{upstream: u, expected: expected, cost: expected}
+	return &option{upstream: u, expected: expected, cost: expected}, ReasonNone
 }
 
 // fits reports whether a request's tokens find memory beside those that run.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,6 +94,8 @@
 	// release is a moving average of the time between two places becoming free.
 	release time.Duration
 	freed   time.Duration
+	// slow is the time after which few first tokens are still to come.
+	slow time.Duration
 }
 
 type waiter struct {
@@ -113,6 +115,10 @@
 	Cached int64
 	// Running is how many requests ran there, of this host and of others.
 	Running int
+	// Agreed says that all hosts send its shared parts there, Passed why the upstream agreed
+	// on was not taken.
+	Agreed bool
+	Passed Reason
 
 	scheduler *Scheduler
 	upstream  *upstream
@@ -324,9 +330,39 @@
 	p.upstream.sign = now
 	p.upstream.reading -= p.reading
 	p.upstream.learn(p, now-p.begun)
+	s.pool(p.work.Pool).wait(now - p.begun)
 	s.dispatch(p.work.Pool, now)
 }
 
+// Slow returns the time after which few first tokens of the pool are still to come, as
+// lately seen here; 0: none was seen.
+func (p *Place) Slow() time.Duration {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool(p.work.Pool).slow
+}
+
+// Abandon notes that no first token was waited for any longer.
+func (p *Place) Abandon() {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool(p.work.Pool).wait(s.Timer.Now() - p.begun)
+}
+
+// wait learns from a first token that came, or did not come, within d.
+func (p *pool) wait(d time.Duration) {
+	switch {
+	case p.slow == 0:
+		p.slow = d
+	case d >= p.slow:
+		p.slow += time.Duration(float64(p.slow) * slowStep * (1 - slowPart))
+	default:
+		p.slow -= time.Duration(float64(p.slow) * slowStep * slowPart)
+	}
+}
+
 // End gives the place back.
 func (p *Place) End(o Outcome) {
 	s := p.scheduler
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -321,3 +321,27 @@
 		t.Error("what is late goes first")
 	}
 }
+
+// TestSlowTimeFollowsBurst lets first tokens come late for a while, as in a burst: the time
+// after which few are still to come must follow, up within some dozens, and down again.
+func TestSlowTimeFollowsBurst(t *testing.T) {
+	s := newScheduler(engines(1)...)
+	serve := func(n int, d time.Duration) time.Duration {
+		for range n {
+			p := s.now(s.prompt("subject", 10, 10*time.Second))
+			s.Timer.Advance(d)
+			p.First()
+			p.End(Answered)
+		}
+		return s.now(s.prompt("subject", 10, 10*time.Second)).Slow()
+	}
+	if slow := serve(20, 100*time.Millisecond); slow > 200*time.Millisecond {
+		t.Errorf("calm: %v", slow)
+	}
+	if slow := serve(60, 1500*time.Millisecond); slow < 750*time.Millisecond {
+		t.Errorf("in a burst of answers after 1.5s: %v", slow)
+	}
+	if slow := serve(1000, 100*time.Millisecond); slow > 300*time.Millisecond {
+		t.Errorf("after the burst: %v", slow)
+	}
+}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -13,8 +13,19 @@
 	firstReadRate = 40_000
 	// Time from the decision to a first token besides reading, before any was measured.
 	firstOverhead = 30 * time.Millisecond
-	// Weight of a new sample in the learned factor.
+	// Time that an engine takes for one token of an answer, before any was measured.
+	firstTokenTime = 8 * time.Millisecond
+	// Weight of a new sample in an average.
 	learnWeight = 0.1
+	// Part of the first tokens that come sooner than the learned factor says. A low one tells
+	// how fast an engine is; the slower ones waited behind work of other hosts.
+	quickPart = 0.4
+	// Step by which the learned factor follows a sample, as a part of it.
+	factorStep = 0.1
+	// Part of the first tokens of a pool that come later than the learned slow time.
+	slowPart = 0.05
+	// Step by which the learned slow time follows a sample, as a part of it.
+	slowStep = 0.05
 	// Bounds of the learned factor.
 	slowest, fastest = 20.0, 0.2
 	// Part of an engine's memory that running requests may fill.
@@ -36,17 +47,17 @@
 	coldHandover = time.Second
 	// Weight of the time that an upstream spends on reading shared parts again, besides the
 	// request's own wait: the others that run there wait for it too.
-	rereadWeight = 2.0
+	rereadWeight = 4.0
 	// What one running request costs a new one: both are slowed down in every step.
 	runningCost = 3 * time.Millisecond
-	// Upstreams compared for a request, besides the one that affinity prefers.
+	// Upstreams compared for a request, besides the one agreed on.
 	sampleSize = 4
 	// Part of its objective within which a request's first token must be expected for an
 	// upstream to take it while others wait.
 	roomPart = 0.5
 	// The same at the upstream that holds the shared parts: to read them elsewhere costs the
 	// engines more than the wait costs the caller.
-	preferredRoom = 0.75
+	agreedRoom = 0.75
 	// The same for requests that are late already.
 	lateRoom = 150 * time.Millisecond
 )
@@ -219,7 +230,8 @@
 	u := o.upstream
 	p := &Place{
 		Name: u.said.Name, Address: u.said.Address, Expected: o.expected, Cached: o.cached,
-		Running:   u.running + u.otherRunning,
+		Running: u.running + u.otherRunning,
+		Agreed:  o.agreed, Passed: o.passed,
 		scheduler: s, upstream: u, work: w, begun: now, reading: o.uncached,
 	}
 	if now < u.cold {
@@ -245,8 +257,11 @@
 	if p.Expected <= 0 {
 		return
 	}
-	ratio := float64(d) / float64(p.Expected) * u.factor
-	u.factor = math.Min(slowest, math.Max(fastest, u.factor+learnWeight*(ratio-u.factor)))
+	step := factorStep * quickPart
+	if float64(d) < float64(p.Expected) {
+		step = -factorStep * (1 - quickPart)
+	}
+	u.factor = math.Min(slowest, math.Max(fastest, u.factor*(1+step)))
 }
 
 // note counts an outcome.
