Keep a subject's long prompts in one region, wherever its callers are

Streams whose shared parts would cost an engine a tenth or more of the request go to the region that a weighted hash of the subject names, by the slots of the regions that may serve them and are not full. Others leave a loaded region from 0.45 of its slots on (was 0.55), by the room that each other region has. A relayed request is acknowledged at once; a region that owes a word for 0.7 s is left until it answers a question, which costs no request. A relayed answer that broke off because the caller had gone could be served again here; it no longer can.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	others   []*schema.RegionDigest // guarded by mu
 	limits   limits
+	reach    reach
 	stopping atomic.Int64 // boot time at which the process ends; 0: it does not stop
 	strict   atomic.Int64 // boot time from which work is taken only if it surely ends before
 	inflight atomic.Int64
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -37,7 +37,7 @@
 type remote struct {
 	region string
 	// load is the part of its slots that is taken.
-	load float64
+	load, slots float64
 }
 
 // remotes returns the other regions that may serve a request, the least loaded first.
@@ -49,19 +49,10 @@
 		}
 		for _, p := range d.Routes {
 			if p.Name == r.pool && p.Slots > 0 {
-				all = append(all, remote{d.Region, float64(p.Running+p.Waiting) / float64(p.Slots)})
+				all = append(all, remote{d.Region, float64(p.Running+p.Waiting) / float64(p.Slots), float64(p.Slots)})
 			}
 		}
 	}
 	slices.SortFunc(all, func(a, b remote) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.region, b.region)) })
 	return all
 }
-
-// leastLoad returns the load of the least loaded region that may serve a request; 1 if
-// there is none.
-func (f *Forwarder) leastLoad(r *Request) float64 {
-	for _, x := range f.remotes(r) {
-		return x.load
-	}
-	return 1
-}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -42,11 +42,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.reach.ask(region, f.Timer.Now())
 	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.relayRequest(r))
 	if err != nil {
 		return f.relayError(r, err)
 	}
-	return f.passReplies(r, sink, stream)
+	return f.passReplies(r, sink, stream, region)
 }
 
 func (f *Forwarder) relayRequest(r *Request) *schema.RelayRequest {
@@ -76,7 +77,7 @@
 	return errors.Join(errRelay, err)
 }
 
-func (f *Forwarder) passReplies(r *Request, sink Sink, stream grpc.ServerStreamingClient[schema.RelayReply]) error {
+func (f *Forwarder) passReplies(r *Request, sink Sink, stream grpc.ServerStreamingClient[schema.RelayReply], region string) error {
 	begun := false
 	for {
 		reply, err := stream.Recv()
@@ -87,6 +88,7 @@
 			}
 			return errors.Join(errRelay, err)
 		}
+		f.answers(region)
 		if reply.Failure != nil {
 			return f.relayFailure(r, reply.Failure, begun)
 		}
@@ -131,9 +133,14 @@
 	Forwarder *Forwarder
 }
 
-// Relay runs a request of another region's host at an upstream of this one.
+// Relay runs a request of another region's host at an upstream of this one. A request
+// without an id only asks for a word.
 func (s *RelayService) Relay(m *schema.RelayRequest, stream grpc.ServerStreamingServer[schema.RelayReply]) error {
 	f := s.Forwarder
+	// The sender learns at once that this region is there.
+	if err := stream.Send(&schema.RelayReply{}); err != nil || m.Id == "" {
+		return err
+	}
 	f.inflight.Add(1)
 	defer f.inflight.Add(-1)
 	r, err := f.relayedRequest(m)
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -17,9 +16,9 @@
 		return f.serveElsewhere(ctx, r, sink, t, refuse(http.StatusServiceUnavailable, causeNoHome, missingRetry))
 	}
 	s := &relayState{}
-	if f.spills(r) {
-		err := f.serveElsewhere(ctx, r, sink, t, errSpill)
-		if err == nil || r.arrived > 0 || r.unsure || ctx.Err() != nil {
+	if region := f.elsewhere(r); region != "" {
+		err := f.relay(ctx, region, r, sink, t)
+		if err == nil || r.arrived > 0 || r.unsure || errors.Is(err, errBegun) || ctx.Err() != nil {
 			return err
 		}
 	}
@@ -31,33 +30,6 @@
 	return f.last(s, sink, err)
 }
 
-const (
-	// Load of this region above which others may take a part of its requests.
-	spillLoad = 0.55
-	// How much less another region must be loaded.
-	spillMargin = 0.15
-	// Part of the difference that is passed on: load figures are old.
-	spillPart = 0.8
-	// Time that the way to another region and back takes, as a part of the objective at most.
-	spillObjective = 400 * time.Millisecond
-)
-
-var errSpill = errors.New("forwarder: another region has more room")
-
-// spills decides whether a request goes to a less loaded region although this one may serve
-// it. The more the loads differ, the more do.
-func (f *Forwarder) spills(r *Request) bool {
-	if r.relayed || !r.stream() || seconds(r.route.Objective) < spillObjective {
-		return false
-	}
-	here := f.Scheduler.Look(r.work(nil)).Load
-	if here < spillLoad {
-		return false
-	}
-	there := f.leastLoad(r)
-	return rand.Float64() < (here-there-spillMargin)*spillPart
-}
-
 // serveElsewhere passes a request to other regions, the least loaded first, until one has
 // a place. Without one it returns why.
 func (f *Forwarder) serveElsewhere(ctx context.Context, r *Request, sink Sink, t *trace, why error) error {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -268,36 +268,24 @@
 	}
 }
 
-// Outlook is what the region can do for work now.
+// Outlook is what the region can do for a pool's work now.
 type Outlook struct {
-	// Upstreams is how many may be used.
-	Upstreams int
-	// First is the earliest expected first token, from now; 0 if there is no place.
-	First time.Duration
-	// Free says that some upstream has a place.
-	Free bool
-	// Waiting is how many requests wait.
-	Waiting int
-	// Load is the part of all upstreams' slots that is taken.
-	Load float64
+	// Slots is the sum of what may be used, Load the part of them that is taken.
+	Slots int
+	Load  float64
 }
 
 // Look returns the outlook for work without taking a place.
 func (s *Scheduler) Look(w *Work) Outlook {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Timer.Now()
-	candidates := s.candidates(w, now)
-	o := Outlook{Upstreams: len(candidates), Waiting: len(s.pool(w.Pool).waiting)}
-	running, slots := 0, 0
-	for _, u := range candidates {
-		running += u.running + u.otherRunning
-		slots += int(u.said.Slots)
-	}
-	o.Load = float64(running+o.Waiting) / float64(max(1, slots))
-	if best := s.best(w, candidates, now); best != nil {
-		o.First, o.Free = best.expected, true
+	taken := len(s.pool(w.Pool).waiting)
+	o := Outlook{}
+	for _, u := range s.candidates(w, s.Timer.Now()) {
+		taken += u.running + u.otherRunning
+		o.Slots += int(u.said.Slots)
 	}
+	o.Load = float64(taken) / float64(max(1, o.Slots))
 	return o
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -225,11 +225,12 @@
 	s := newScheduler(engines(2)...)
 	s.Owns = func(string) bool { return false }
 	s.Chill("d")
-	if s.Look(s.prompt("x", 10, time.Second)).Free {
+	x, err := s.enter(s.prompt("x", 10, time.Second))
+	if err != nil || !s.leave(x) {
 		t.Error("a host that does not own the upstreams may send")
 	}
 	s.Timer.Advance(3 * time.Second)
-	if !s.Look(s.prompt("x", 10, time.Second)).Free {
+	if s.now(s.prompt("x", 10, time.Second)) == nil {
 		t.Error("still cold after its time")
 	}
 }
