--- a/internal/forwarder/try.go
+++ b/internal/forwarder/try.go
@@ -126,10 +126,11 @@
 }
 
 // tryLimit is how long a first sign of an answer is waited for, given the time after which
-// few answers of the pool are still to come and what is left to the caller.
+// few answers of the pool are still to come and what is left to the caller. Where answers
+// are slow, no other upstream would do better in half of what is left.
 func tryLimit(objective, slow, left time.Duration) time.Duration {
-	limit := max(shortestTry, time.Duration(tryObjectives*float64(objective)), trySlow*slow)
-	return min(limit, left/2)
+	quick := min(time.Duration(tryObjectives*float64(objective)), left/2)
+	return max(shortestTry, quick, trySlow*slow)
 }
 
 var errSlow = errors.New("forwarder: the upstream does not answer")
