Ask the leader for tokens less often

A question asks for a second of the customer's pace ahead (was the missing tokens again, or 0.3 s); a denied one is not repeated for 0.75 s. Customers whose limits are all lent are no longer divided: a share of nothing cost a pass over all hosts, and kept a host from its floor.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -155,8 +155,12 @@
 	if !known || terms.Rate <= 0 {
 		return nil
 	}
+	divided := 1 - a.reservePart(customer, terms)
+	if divided <= 0 {
+		return nil // all is lent, and the host spends its floor
+	}
 	others := a.outstanding(customer, name, now)
-	whole := terms.Rate * (1 - a.floors(name, customer, now)) * (1 - a.reservePart(customer, terms))
+	whole := terms.Rate * (1 - a.floors(name, customer, now)) * divided
 	rate := math.Max(0, math.Min(whole*a.fraction(name, customer), whole-others))
 	if a.given[customer] == nil {
 		a.given[customer] = map[string][]grant{}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -17,8 +17,9 @@
 	leader *Allocator
 	hosts  []*Bucket
 	number []uint64
-	// waits counts requests that had to wait for the leader's answer.
-	waits int
+	// waits counts requests that had to wait for the leader's answer, questions all that the
+	// leader was asked.
+	waits, questions int
 }
 
 func newFleet(hosts int, terms Terms) *fleet {
@@ -50,13 +51,15 @@
 	var over *Over
 	if err != nil && errors.As(err, &over) && over.Retry == 0 {
 		f.waits++
+		f.questions++
 		lent, retry := f.leader.Borrow("c", over.Missing, over.Missing)
 		f.hosts[host].Lent("c", lent, retry)
 		err = f.hosts[host].Retake("c", tokens)
 	}
 	if wish := f.hosts[host].Ahead("c", tokens); err == nil && wish > 0 {
-		lent, retry := f.leader.Borrow("c", 0, wish)
-		f.hosts[host].Lent("c", lent, retry)
+		f.questions++
+		lent, _ := f.leader.Borrow("c", 0, wish)
+		f.hosts[host].LentAhead("c", lent)
 	}
 	return err == nil
 }
@@ -86,6 +89,9 @@
 	if f.waits > asked/2 {
 		t.Errorf("%d of %d requests wait for the leader's answer", f.waits, asked)
 	}
+	if f.questions >= asked {
+		t.Errorf("%d questions to the leader for %d requests", f.questions, asked)
+	}
 }
 
 // TestWholeIsNeverExceeded drives hosts whose callers ask many times the rate, whose
--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -65,8 +65,10 @@
 	// held are borrowed tokens, good until heldUntil.
 	held      float64
 	heldUntil time.Duration
-	// asking says that tokens for requests to come are being borrowed.
+	// asking says that tokens for requests to come are being borrowed, denied until when the
+	// leader is not asked for such again.
 	asking bool
+	denied time.Duration
 	// closed is until when the leader said that there are none.
 	closed time.Duration
 	// rate and burst are this host's part, good until the end of its lease.
@@ -137,7 +139,7 @@
 	if now < a.heldUntil {
 		held = max(held, a.held)
 	}
-	if a.asking || now < a.closed || held >= tokens || a.pace*heldTime.Seconds() < tokens {
+	if a.asking || now < a.closed || now < a.denied || held >= tokens || a.pace*heldTime.Seconds() < tokens {
 		return 0
 	}
 	a.asking = true
@@ -153,12 +155,33 @@
 	if a == nil {
 		return
 	}
-	a.asking = false
 	now := b.Now()
 	if tokens <= 0 {
 		a.closed = now + retry
 		return
 	}
+	a.hold(tokens, now)
+}
+
+// LentAhead takes the leader's answer to what Ahead asked for.
+func (b *Bucket) LentAhead(customer string, tokens float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.customers[customer]
+	if a == nil {
+		return
+	}
+	now := b.Now()
+	a.asking = false
+	if tokens <= 0 {
+		a.denied = now + heldTime/2
+		return
+	}
+	a.hold(tokens, now)
+}
+
+// hold adds borrowed tokens.
+func (a *account) hold(tokens float64, now time.Duration) {
 	if now >= a.heldUntil {
 		a.held = 0
 	}
@@ -172,7 +195,7 @@
 	// Part of the slack that an idle host's level may reach.
 	burstPart = 0.3
 	// Time of a customer's spending that is borrowed ahead.
-	aheadTime = 500 * time.Millisecond
+	aheadTime = time.Second
 	// Time for which borrowed tokens are good.
 	heldTime = 1500 * time.Millisecond
 )
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -63,7 +63,7 @@
 		return 0, waitFor(required-r.level, rate)
 	}
 	extra := math.Max(0, math.Min(math.Min(wish, r.level/2)-need, terms.Burst*aheadPart-r.ahead))
-	if need == 0 && extra < wish {
+	if need == 0 && extra < wish/2 {
 		return 0, 0 // a part of a request's tokens saves it no question
 	}
 	r.ahead += extra
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -15,8 +15,9 @@
 	borrowTimeout = 800 * time.Millisecond
 	// Longest time that a request waits for tokens, as a part of its objective.
 	borrowPart = 0.35
-	// Time of a customer's spending that is borrowed ahead.
-	borrowAhead = 300 * time.Millisecond
+	// Time of a customer's spending that is borrowed ahead: every question costs the leader as
+	// much as a request costs a host.
+	borrowAhead = time.Second
 	// Shortest pause between two questions for one request.
 	borrowPause = 20 * time.Millisecond
 )
@@ -55,11 +56,11 @@
 func (f *Forwarder) borrowAhead(customer string, wish float64) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	tokens, retry, err := f.Borrow(ctx, customer, 0, wish)
+	tokens, _, err := f.Borrow(ctx, customer, 0, wish)
 	if err != nil {
 		f.Log.Debug().Err(err).Str("customer", customer).Msg("nothing borrowed ahead")
 	}
-	f.Bucket.Lent(customer, tokens, max(retry, borrowPause))
+	f.Bucket.LentAhead(customer, tokens)
 }
 
 // borrow asks the leader once, or waits until it may be asked again. It returns an error
@@ -74,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	wish := over.Missing + min(over.Missing, over.Pace*borrowAhead.Seconds())
+	wish := over.Missing + over.Pace*borrowAhead.Seconds()
 	tokens, retry, err := f.Borrow(ctx, over.Customer, over.Missing, wish)
 	if err != nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Cause: causeNoLender, Retry: staleRetry, Err: err}
