After a silent connection, try an upstream again on a new one; name the borrowing once

The older request path says that it tries an upstream again on a new connection when one fell silent, but took any idle one; idle ones are closed at that moment, and a request that takes one in between meets silence twice and excludes the upstream.

Also: the time that is borrowed ahead is one constant of allocator, and a failed question for it is a warning in the log.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -143,7 +143,7 @@
 		return 0
 	}
 	a.asking = true
-	return max(tokens, a.pace*aheadTime.Seconds())
+	return max(tokens, a.pace*AheadTime.Seconds())
 }
 
 // Lent takes the leader's answer to a request for tokens: tokens to hold, or a time until
@@ -194,8 +194,9 @@
 	debtPart = 0.5
 	// Part of the slack that an idle host's level may reach.
 	burstPart = 0.3
-	// Time of a customer's spending that is borrowed ahead.
-	aheadTime = time.Second
+	// AheadTime is the time of a customer's spending that is borrowed ahead: every question
+	// costs the leader as much as a request costs a host.
+	AheadTime = time.Second
 	// Time for which borrowed tokens are good.
 	heldTime = 1500 * time.Millisecond
 )
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -15,9 +15,6 @@
 	borrowTimeout = 800 * time.Millisecond
 	// Longest time that a request waits for tokens, as a part of its objective.
 	borrowPart = 0.35
-	// Time of a customer's spending that is borrowed ahead: every question costs the leader as
-	// much as a request costs a host.
-	borrowAhead = time.Second
 	// Shortest pause between two questions for one request.
 	borrowPause = 20 * time.Millisecond
 )
@@ -58,7 +55,7 @@
 	defer cancel()
 	tokens, _, err := f.Borrow(ctx, customer, 0, wish)
 	if err != nil {
-		f.Log.Debug().Err(err).Str("customer", customer).Msg("nothing borrowed ahead")
+		f.Log.Warn().Err(err).Str("customer", customer).Msg("nothing borrowed ahead")
 	}
 	f.Bucket.LentAhead(customer, tokens)
 }
@@ -75,7 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	wish := over.Missing + over.Pace*borrowAhead.Seconds()
+	wish := over.Missing + over.Pace*allocator.AheadTime.Seconds()
 	tokens, retry, err := f.Borrow(ctx, over.Customer, over.Missing, wish)
 	if err != nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Cause: causeNoLender, Retry: staleRetry, Err: err}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -66,6 +66,11 @@
 	return false
 }
 
+// fresh reports whether the next try at an upstream needs a connection of its own: others
+// that were idle when one fell silent may be silent too, and may be taken before they are
+// closed.
+func (t *tries) fresh(name string) bool { return t.stalled[name] }
+
 // attempt runs a request on one upstream after another until one gives the whole answer.
 // Completions may be repeated; a stream goes on after the tokens delivered already.
 func (s *Server) attempt(ctx context.Context, c *completion, out sink) error {
@@ -79,7 +84,7 @@
 			break
 		}
 		before := c.delivered.tokens
-		err = s.tryUpstream(ctx, c, choice, out)
+		err = s.tryUpstream(ctx, c, choice, t.fresh(choice.Name), out)
 		again := t.note(choice.Name, err, c.delivered.tokens > before)
 		s.endTry(ctx, choice, err, again)
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCaller) || isFinal(err) {
@@ -133,8 +138,8 @@
 	return errors.As(err, &r)
 }
 
-// tryUpstream runs the request on one upstream.
-func (s *Server) tryUpstream(ctx context.Context, c *completion, u *router.Choice, out sink) error {
+// tryUpstream runs the request on one upstream, on a connection of its own if fresh.
+func (s *Server) tryUpstream(ctx context.Context, c *completion, u *router.Choice, fresh bool, out sink) error {
 	body, err := c.body()
 	if err != nil {
 		return err
@@ -152,7 +157,7 @@
 			s.metrics.upstreamFirst.Observe((c.first - begun).Seconds())
 		}
 	}()
-	answer, err := s.caller.Send(r, firstSilence, false)
+	answer, err := s.caller.Send(r, firstSilence, fresh)
 	if err != nil {
 		return err
 	}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -213,7 +213,7 @@
 		if err != nil {
 			break
 		}
-		answer, err := s.callPlain(ctx, p, choice, false)
+		answer, err := s.callPlain(ctx, p, choice, t.fresh(choice.Name))
 		again := t.note(choice.Name, err, false)
 		s.endTry(ctx, choice, err, again)
 		if err == nil || ctx.Err() != nil {
