Keep to eight hosts of another region when relaying

Since long prompts go to their subject's region, every host soon keeps connections to all hosts of the other regions: 57 of 85 on the grown site, 660 at target size.

A host relays to the eight ready hosts of a region that its name prefers. Test: TestRelaysKeepToFewHosts.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 // Forwarder is the request path of one entry host. Set the exported fields, then call
 // Serve for each request.
 type Forwarder struct {
+	Host      string
 	Region    string
 	Timer     *timer.Service
 	Dialer    *dialer.Dialer
--- a/internal/forwarder/reach.go
+++ b/internal/forwarder/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -94,11 +93,11 @@
 
 // hello asks a host of a region for a word.
 func (f *Forwarder) hello(region string) {
-	peers := f.Peers(region)
-	if len(peers) == 0 {
+	peer := f.peer(region)
+	if peer == nil {
 		return
 	}
-	conn, err := f.Dialer.Conn(peers[rand.IntN(len(peers))].Internal)
+	conn, err := f.Dialer.Conn(peer.Internal)
 	if err != nil {
 		f.Log.Warn().Err(err).Str("region", region).Msg("no way to a region")
 		return
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -16,6 +18,9 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
+// Hosts of another region that a host relays to.
+const relayPeers = 8
+
 // Taken off the age that the certainty behind a key may have when a request leaves for
 // another region, where it may wait again.
 const relayMargin = time.Second
@@ -25,8 +30,8 @@
 // relay passes a request through an entry host of another region, once. Where the host
 // says that it did not run, another may be asked.
 func (f *Forwarder) relay(ctx context.Context, region string, r *Request, sink Sink, t *trace) error {
-	peers := f.Peers(region)
-	if len(peers) == 0 {
+	peer := f.peer(region)
+	if peer == nil {
 		return refuse(http.StatusServiceUnavailable, causeNoHome, missingRetry)
 	}
 	if r.customer != nil {
@@ -34,7 +39,6 @@
 			return err
 		}
 	}
-	peer := peers[rand.IntN(len(peers))]
 	t.relayed(region, peer.Name)
 	conn, err := f.Dialer.Conn(peer.Internal)
 	if err != nil {
@@ -50,6 +54,26 @@
 	return f.passReplies(r, sink, stream, region)
 }
 
+// peer returns an entry host of a region, nil if none is ready. Each host keeps to a few,
+// so that connections between regions do not grow with the square of the hosts.
+func (f *Forwarder) peer(region string) *schema.Peer {
+	peers := nearest(f.Host, f.Peers(region))
+	if len(peers) == 0 {
+		return nil
+	}
+	return peers[rand.IntN(len(peers))]
+}
+
+// nearest returns the relayPeers peers that a host's name prefers.
+func nearest(host string, peers []*schema.Peer) []*schema.Peer {
+	if len(peers) <= relayPeers {
+		return peers
+	}
+	weight := func(p *schema.Peer) uint64 { return xxhash.Sum64String(host + "/" + p.Name) }
+	sorted := slices.SortedFunc(slices.Values(peers), func(a, b *schema.Peer) int { return cmp.Compare(weight(a), weight(b)) })
+	return sorted[:relayPeers]
+}
+
 func (f *Forwarder) relayRequest(r *Request) *schema.RelayRequest {
 	now := f.Timer.Now()
 	m := &schema.RelayRequest{
--- a/internal/forwarder/spill_test.go
+++ b/internal/forwarder/spill_test.go
@@ -90,3 +90,37 @@
 		}
 	}
 }
+
+// TestRelaysKeepToFewHosts lets 80 hosts choose among 40 of another region. Each must keep to
+// a few, whichever of the others come and go, and none of them may be left out or overrun.
+func TestRelaysKeepToFewHosts(t *testing.T) {
+	var peers []*schema.Peer
+	for i := range 40 {
+		peers = append(peers, &schema.Peer{Name: fmt.Sprint("peer", i)})
+	}
+	chosen := map[string]int{}
+	for i := range 80 {
+		host := fmt.Sprint("host", i)
+		few := nearest(host, peers)
+		if len(few) != relayPeers {
+			t.Fatalf("%s relays to %d hosts", host, len(few))
+		}
+		kept := 0
+		for _, p := range nearest(host, peers[1:]) {
+			if slices.Contains(few, p) {
+				kept++
+			}
+		}
+		if kept < relayPeers-1 {
+			t.Errorf("%s changes %d of its hosts when one goes", host, relayPeers-kept)
+		}
+		for _, p := range few {
+			chosen[p.Name]++
+		}
+	}
+	for _, p := range peers {
+		if n := chosen[p.Name]; n < 4 || n > 32 {
+			t.Errorf("%s is chosen by %d of 80 hosts, 16 on average", p.Name, n)
+		}
+	}
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -96,7 +96,7 @@
 	e.Retries.Now = e.Timer.Now
 	e.Retries.Hosts = func() int { return len(e.Table.Ready("")) }
 	e.Forwarder = &forwarder.Forwarder{
-		Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
+		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.Retries, Dialect: e.Dialect, Metrics: forwarder.NewMetrics(),
 		Age: e.refresher.Age, KeyLimit: e.KeyLimit, Peers: e.Table.Ready, Borrow: e.refresher.Borrow,
 	}
