Bound the head of an upstream's response

Cause: net/http reads a response head without a bound; an upstream that sends header fields, one header line, a status line or informational responses without end takes the memory of the entry host. TestResponseHeadWithoutEnd: each of six kinds made the pool read 64 MB, all that the test's upstream sends. Ruled out: chunk extensions, chunk sizes and trailers without end are bounded by net/http (TestBodyFramingWithoutEnd passed before the change). Change: a head may have 64 KiB, informational responses included, and at most 8 of those come before the response. Result: both tests pass; TestLateSecondResponse shows that what follows a late copy of a response reaches nobody.

--- /dev/null
+++ b/internal/pooler/endless_test.go
@@ -0,0 +1,134 @@
+package pooler
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// endlessUpstream answers each request with prefix and then with unit again and again, until the
+// client closes the connection or maxEndlessBytes are sent. Sent counts the bytes of all answers.
+type endlessUpstream struct {
+	prefix, unit string
+	sent         atomic.Int64
+}
+
+const (
+	maxEndlessBytes = 64 << 20
+	// Upper bound of what the sockets of both ends hold, which the upstream may have sent although
+	// nothing read it.
+	maxSocketBytes = 16 << 20
+)
+
+func (u *endlessUpstream) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (u *endlessUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	block := strings.Repeat(u.unit, 1+(16<<10)/len(u.unit))
+	for text := u.prefix + block; u.sent.Load() < maxEndlessBytes; text = block {
+		n, err := io.WriteString(c, text)
+		u.sent.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestResponseHeadWithoutEnd guards against an upstream that exhausts this host's memory by a
+// response head that never ends, in each part of a head.
+func TestResponseHeadWithoutEnd(t *testing.T) {
+	for name, u := range map[string]*endlessUpstream{
+		"header fields":           {prefix: "HTTP/1.1 200 OK\r\n", unit: "X-Filler: aaaaaaaaaaaaaaaa\r\n"},
+		"one header line":         {prefix: "HTTP/1.1 200 OK\r\nX-Filler: ", unit: "a"},
+		"a folded header line":    {prefix: "HTTP/1.1 200 OK\r\nX-Filler: a\r\n", unit: " a\r\n"},
+		"the status line":         {prefix: "HTTP/1.1 200 ", unit: "O"},
+		"informational responses": {unit: "HTTP/1.1 102 Processing\r\n\r\n"},
+		"informational responses with fields": {
+			unit: "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("a", 4000) + "\r\n\r\n",
+		},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), false)
+		if call != nil || !errors.Is(err, ErrMalformedResponse) {
+			t.Errorf("%s: got call %v, error %v, want ErrMalformedResponse", name, call, err)
+		}
+		if sent := u.sent.Load(); sent > maxSocketBytes {
+			t.Errorf("%s: the upstream sent %d bytes", name, sent)
+		}
+		cancel()
+	}
+}
+
+// TestBodyFramingWithoutEnd guards against an upstream that exhausts this host's memory by the
+// framing of a chunked body: what is not body must be bounded.
+func TestBodyFramingWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, u := range map[string]*endlessUpstream{
+		"chunk extension":   {prefix: head + "1;", unit: "a"},
+		"extended chunks":   {prefix: head, unit: "1;" + strings.Repeat("a", 2000) + "\r\nx\r\n"},
+		"one trailer":       {prefix: head + "0\r\nX-Filler: ", unit: "a"},
+		"trailers":          {prefix: head + "0\r\n", unit: "X-Filler: a\r\n"},
+		"chunk size digits": {prefix: head, unit: "0"},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), false)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if n, err := io.Copy(io.Discard, call); !errors.Is(err, ErrConnectionLost) || n > 1<<20 {
+			t.Errorf("%s: read %d bytes of body, error %v, want ErrConnectionLost", name, n, err)
+		}
+		call.Close()
+		if sent := u.sent.Load(); sent > maxSocketBytes {
+			t.Errorf("%s: the upstream sent %d bytes", name, sent)
+		}
+		cancel()
+	}
+}
+
+// TestLateSecondResponse guards against the next caller getting a late copy of the previous
+// response: it arrives after the connection was taken for the next request, in the place of that
+// request's response. The pool cannot tell the two apart, so what it must ensure is that nothing
+// that follows the copy reaches a third request.
+func TestLateSecondResponse(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: 1\r\n\r\nno"
+	p, address := newPool(t), newUpstream(t, []string{completeResponse, late + completeResponse}, []string{completeResponse})
+	for i, want := range []struct {
+		body   string
+		reused bool
+	}{{"ok", false}, {"no", true}, {"ok", false}} {
+		body, reused, err := exchange(t, p, address, "")
+		if body != want.body || reused != want.reused || err != nil {
+			t.Errorf("request %d: got %q, reused %v, %v; want %q, reused %v", i, body, reused, err, want.body, want.reused)
+		}
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -37,6 +37,11 @@
 	writeDoneTimeout = 20 * time.Millisecond
 	// Number of idle connections kept per address.
 	maxIdleConns = 64
+	// Maximum size of what an upstream may send before the body of its response, informational
+	// responses included. Callers are held to the same size.
+	maxHeadBytes = 64 << 10
+	// Maximum number of informational responses before the response itself.
+	maxInformational = 8
 )
 
 // Errors of calls.
@@ -51,6 +56,12 @@
 	ErrMalformedResponse = errors.New("pooler: malformed response")
 )
 
+// Causes of ErrMalformedResponse for heads that do not end.
+var (
+	errHeadTooLong          = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
+	errTooManyInformational = fmt.Errorf("more than %d informational responses", maxInformational)
+)
+
 // Pool keeps idle connections by address. Set the exported fields before use.
 type Pool struct {
 	Timer *timer.Service
@@ -64,12 +75,34 @@
 // conn is one connection, used by at most one request at a time.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	source      *boundedReader
+	reader      *bufio.Reader // reads from source
 	address     string
 	idleSince   time.Duration // time on Timer's clock at which it became idle
 	idleTimeout time.Duration // idle time after which it is closed
 }
 
+// boundedReader reads from r. While bounded is set, it returns errHeadTooLong once remaining bytes
+// are read.
+type boundedReader struct {
+	r         io.Reader
+	bounded   bool
+	remaining int
+}
+
+// Read reads from the underlying reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.bounded {
+		return b.r.Read(p)
+	}
+	if b.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := b.r.Read(p[:min(len(p), b.remaining)])
+	b.remaining -= n
+	return n, err
+}
+
 // Call is one request and its response. Close must be called. A Call is not safe for
 // concurrent use.
 type Call struct {
@@ -145,10 +178,18 @@
 	return n, err
 }
 
-// readHeader reads response headers up to the first that is not informational (1xx).
+// readHeader reads response headers up to the first that is not informational (1xx). All of them
+// together may have maxHeadBytes.
 func (c *Call) readHeader(r *http.Request) error {
-	for {
-		if _, err := c.conn.reader.Peek(1); err != nil {
+	c.conn.source.bounded, c.conn.source.remaining = true, maxHeadBytes
+	defer func() { c.conn.source.bounded = false }()
+	for n := 0; ; n++ {
+		if n > maxInformational {
+			return fmt.Errorf("%w: %w", ErrMalformedResponse, errTooManyInformational)
+		}
+		if _, err := c.conn.reader.Peek(1); errors.Is(err, errHeadTooLong) {
+			return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
+		} else if err != nil {
 			return fmt.Errorf("%w: %w", ErrConnectionLost, err)
 		}
 		response, err := http.ReadResponse(c.conn.reader, r)
@@ -252,7 +293,8 @@
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes), address: address}, false, nil
+	source := &boundedReader{r: n}
+	return &conn{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, false, nil
 }
 
 func (p *Pool) popIdle(address string) *conn {
