End streams that stall and events that do not end

Cause: a stream's event was collected without a bound and searched whole at each read; comments and parts of events counted as progress until the request's deadline; the rest of a rejection was read until its end, while the request could have gone to another upstream. Change: an event may have 256 KiB and only new bytes are searched. A stream without an event of content ends after the longest time that a caller waits for one (2 s, 4 times the objective of the first event or 8 times that between events) and half a second. The rest of a rejection is read for 0.1 s at most.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -22,6 +22,10 @@
 	// responses are still to come: while engines are full, a slow response is not a lost one.
 	timeoutObjectiveFactor = 1.0
 	timeoutSlowFactor      = 2
+	// Bounds for reading the rest of a response that is not forwarded, so that its connection
+	// can be reused. A rejection's body arrives with its head.
+	maxDrainedBytes = 16 << 10
+	drainTimeout    = 100 * time.Millisecond
 )
 
 // Errors of one attempt.
@@ -183,10 +187,10 @@
 	verdict := f.Protocol.Classify(a, call.Response)
 	switch verdict {
 	case NotRun:
-		drain(call)
+		f.drain(call)
 		return errNotRun
 	case Misdirected:
-		drain(call)
+		f.drain(call)
 		r.attempts--
 		return errMisdirected
 	case Invalid:
@@ -251,7 +255,10 @@
 	}
 }
 
-// drain reads a short response to its end, so that its connection can be reused.
-func drain(call *pooler.Call) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(call, 16<<10)) // a failure only costs the connection
+// drain reads a short response to its end, so that its connection can be reused. It gives up
+// after drainTimeout.
+func (f *Forwarder) drain(call *pooler.Call) {
+	stop := f.Timer.Once(drainTimeout, call.Abort)
+	defer stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(call, maxDrainedBytes)) // a failure only costs the connection
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -116,6 +116,9 @@
 	add("stream", schema.RouteKind_ROUTE_STREAM, 2, false, true)
 	add("resume", schema.RouteKind_ROUTE_STREAM, 2, true, true)
 	add("keyed", schema.RouteKind_ROUTE_SAFE, 1, false, false)
+	add("slow", schema.RouteKind_ROUTE_STREAM, 1, false, true)
+	slow := items[len(items)-1].GetRoute()
+	slow.Timeout, slow.Gap = 3600, 0.4
 	key := &schema.Key{Hash: HashExternalKey("k"), Customer: "c"}
 	return append(items,
 		&schema.Item{Path: "pool/p", Value: &schema.Item_Pool{Pool: &schema.Pool{Name: "p"}}},
@@ -129,7 +132,12 @@
 // its upstream's script, the last step again when the script has ended.
 func newSystem(t *testing.T, scripts ...[]scriptStep) *system {
 	t.Helper()
-	clock := &timer.Service{}
+	return newSystemAt(t, &timer.Service{}, scripts...)
+}
+
+// newSystemAt is newSystem with a clock of the test's.
+func newSystemAt(t *testing.T, clock *timer.Service, scripts ...[]scriptStep) *system {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = clock.Run(ctx) }()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -43,26 +42,35 @@
 // part of an event that the upstream truncated, so another upstream can resume the stream
 // after the last complete event.
 func (f *Forwarder) forwardStream(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call) error {
-	var buffered []byte
+	watch := newStallWatch(f.Timer, stallTimeout(r.route), call.Abort)
+	defer watch.end()
+	var buffer eventBuffer
 	b := make([]byte, streamBufferBytes)
 	for {
-		n, err := call.Read(b)
-		buffered = append(buffered, b[:n]...)
-		if at := lastEventEnd(buffered); at > 0 {
-			reservation.RecordFirstToken()
-			reservation.RecordReceived()
-			if err := f.forwardEvents(r, sink, s, call, buffered[:at]); err != nil {
+		n, readErr := call.Read(b)
+		events, err := buffer.add(b[:n])
+		if err != nil {
+			return errors.Join(errUpstreamFailed, err)
+		}
+		if len(events) > 0 {
+			if hasContent(events) {
+				watch.recordProgress()
+				reservation.RecordFirstToken()
+				reservation.RecordReceived()
+			}
+			if err := f.forwardEvents(r, sink, s, call, events); err != nil {
 				return err
 			}
-			buffered = append(buffered[:0], buffered[at:]...)
 		}
 		switch {
-		case err == io.EOF && len(buffered) == 0:
+		case readErr == io.EOF && !buffer.incomplete():
 			f.sendHead(r, sink, s, call)
 			sink.Finish()
 			return nil
-		case err != nil:
-			return errors.Join(errUpstreamFailed, err)
+		case watch.stalled.Load():
+			return errors.Join(errUpstreamFailed, errStalled)
+		case readErr != nil:
+			return errors.Join(errUpstreamFailed, readErr)
 		}
 	}
 }
@@ -90,31 +98,3 @@
 	}
 	return nil
 }
-
-// lastEventEnd returns the length in bytes of the complete events at the beginning of b. An
-// event ends with an empty line.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if at := bytes.LastIndex(b, []byte("\n\n")); at >= 0 {
-		end = at + 2
-	}
-	if at := bytes.LastIndex(b, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+4)
-	}
-	return end
-}
-
-// lastID returns the ID of the last event that has one; empty if none has.
-func lastID(events []byte) string {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		events = events[at+4:]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[3:]
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line))
-}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -104,7 +104,7 @@
 }
 
 // Call is one request and its response. Close must be called. A Call is not safe for
-// concurrent use.
+// concurrent use, except for Abort.
 type Call struct {
 	Response *http.Response
 	// Reused says that an earlier request had used the connection.
@@ -216,6 +216,10 @@
 	return n, err
 }
 
+// Abort closes the connection, so that a Read in progress and all later ones fail. It may be called
+// concurrently with the other methods.
+func (c *Call) Abort() { _ = c.conn.Conn.Close() }
+
 // Close returns the connection to the pool if the response was read to its end, nothing else
 // arrived and ctx has not ended; else it closes the connection. Further calls do nothing.
 func (c *Call) Close() {
