Number the replies of a relay, so that a lost one is detected

Nothing numbered the pieces, so a hole in the middle would have passed as whole. Change: replies count from 1 on both request paths; a gap, a chunk or an end without a head, or a second head is a lost reply: nothing is written without a head, a begun response is truncated in a way that the caller detects, else the caller gets 502. Configuration deltas have a running hash and log entries an index, which detect holes already. Hosts of earlier versions, which do not number, are still understood.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -104,8 +105,12 @@
 
 func (f *Forwarder) forwardReplies(r *Request, sink Sink, stream grpc.ServerStreamingClient[schema.RelayReply], region string) error {
 	headSent := false
+	var sequence replySequence
 	for {
 		reply, err := stream.Recv()
+		if err == nil {
+			err = sequence.check(reply, headSent)
+		}
 		if err != nil {
 			r.mayHaveRun = true
 			if headSent {
@@ -133,6 +138,27 @@
 	}
 }
 
+// errReplyLost means that a reply of a relay is missing, which a partition between the hosts can
+// cause: what was received is not the whole response.
+var errReplyLost = errors.New("forwarder: a reply of the other region is missing")
+
+// replySequence detects lost replies of one relay.
+type replySequence struct{ last uint64 }
+
+// check returns errReplyLost if a reply does not follow the last one, or if it continues a response
+// whose head was not received. Hosts of earlier versions do not number their replies.
+func (s *replySequence) check(reply *schema.RelayReply, headSent bool) error {
+	numbered := reply.Number != 0 || s.last != 0
+	if numbered && reply.Number != s.last+1 {
+		return fmt.Errorf("%w: number %d follows %d", errReplyLost, reply.Number, s.last)
+	}
+	s.last = reply.Number
+	if beginsResponse := reply.Status != 0; beginsResponse == headSent && (beginsResponse || len(reply.Chunk) > 0 || reply.Complete) {
+		return fmt.Errorf("%w: head received %v, status %d", errReplyLost, headSent, reply.Status)
+	}
+	return nil
+}
+
 func (f *Forwarder) relayedFailure(r *Request, x *schema.Failure, headSent bool) error {
 	r.attempts += int(x.Sent)
 	r.reached += int(x.Arrived)
@@ -162,14 +188,15 @@
 // probe, which only gets an acknowledgement.
 func (s *RelayService) Relay(m *schema.RelayRequest, stream grpc.ServerStreamingServer[schema.RelayReply]) error {
 	f := s.Forwarder
+	sink := &relaySink{stream: stream}
 	// Acknowledge at once, which shows the sender that this region is reachable.
-	if err := stream.Send(&schema.RelayReply{}); err != nil || m.Id == "" {
+	if err := sink.send(&schema.RelayReply{}); err != nil || m.Id == "" {
 		return err
 	}
 	f.inflight.Add(1)
 	defer f.inflight.Add(-1)
 	r, err := f.requestOf(m)
-	sink := &relaySink{stream: stream, request: r}
+	sink.request = r
 	t := &trace{f: f, r: r}
 	if err != nil {
 		t.refuse(sink, refusalOf(err))
@@ -229,6 +256,13 @@
 	stream  grpc.ServerStreamingServer[schema.RelayReply]
 	request *Request
 	head    *schema.RelayReply
+	replies uint64 // number of the last reply
+}
+
+func (s *relaySink) send(m *schema.RelayReply) error {
+	s.replies++
+	m.Number = s.replies
+	return s.stream.Send(m)
 }
 
 // SendHead keeps the head until the first chunk.
@@ -249,7 +283,7 @@
 	}
 	s.head = nil
 	m.Chunk = b
-	return s.stream.Send(m)
+	return s.send(m)
 }
 
 // Finish sends the mark of a complete response.
@@ -259,13 +293,13 @@
 		m = &schema.RelayReply{}
 	}
 	m.Complete = true
-	_ = s.stream.Send(m) // a relaying host that does not get it treats the response as truncated
+	_ = s.send(m) // a relaying host that does not get it treats the response as truncated
 }
 
 // Abort sends a failure in place of the mark of a complete response.
 func (s *relaySink) Abort() {
 	failure := &schema.Failure{Status: http.StatusBadGateway, Cause: causeLost}
-	_ = s.stream.Send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
+	_ = s.send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
 }
 
 // Refuse sends the refusal, and whether the request certainly did not run.
@@ -275,5 +309,5 @@
 		Status: int32(f.Status), Cause: f.Cause, Retry: f.RetryAfter.Seconds(), Notrun: notRun,
 		Sent: int32(s.request.attempts), Arrived: int32(s.request.reached),
 	}
-	_ = s.stream.Send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
+	_ = s.send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
 }
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -179,8 +179,9 @@
 		return nil, withRunUnknown(err)
 	}
 	answer := &serviceAnswer{}
+	replies := forwardReplyReader{stream: stream}
 	for {
-		reply, err := stream.Recv()
+		reply, err := replies.next()
 		if err != nil {
 			return nil, withRunUnknown(fmt.Errorf("server: read the answer of the other region: %w", err))
 		}
@@ -234,8 +235,9 @@
 
 func (s *Server) copyForwardReplies(stream grpc.ServerStreamingClient[schema.ForwardReply], c *completion, out answerWriter) error {
 	var body []byte
+	replies := forwardReplyReader{stream: stream}
 	for {
-		reply, err := stream.Recv()
+		reply, err := replies.next()
 		if errors.Is(err, io.EOF) {
 			return errTruncated
 		}
@@ -265,6 +267,42 @@
 	}
 }
 
+// errReplyLost means that a reply of the other region is missing, which a partition between the
+// hosts can cause: what was received is not the whole answer.
+var errReplyLost = errors.New("server: a reply of the other region is missing")
+
+// forwardReplyReader reads the replies of one forwarded request and detects lost ones.
+type forwardReplyReader struct {
+	stream grpc.ServerStreamingClient[schema.ForwardReply]
+	last   uint64 // number of the last reply
+}
+
+// next returns the next reply. Hosts of earlier versions do not number their replies.
+func (f *forwardReplyReader) next() (*schema.ForwardReply, error) {
+	reply, err := f.stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	if (reply.Number != 0 || f.last != 0) && reply.Number != f.last+1 {
+		return nil, fmt.Errorf("%w: number %d follows %d", errReplyLost, reply.Number, f.last)
+	}
+	f.last = reply.Number
+	return reply, nil
+}
+
+// numberedReplies numbers the replies sent on a stream.
+type numberedReplies struct {
+	grpc.ServerStreamingServer[schema.ForwardReply]
+	sent uint64
+}
+
+// Send numbers and sends a reply.
+func (n *numberedReplies) Send(reply *schema.ForwardReply) error {
+	n.sent++
+	reply.Number = n.sent
+	return n.ServerStreamingServer.Send(reply)
+}
+
 func hasHeader(r *schema.ForwardReply, name string) bool {
 	for _, h := range r.Headers {
 		if h.Name == name {
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -69,6 +69,7 @@
 	if customer == nil {
 		return status.Error(codes.NotFound, "customer is unknown here")
 	}
+	stream = &numberedReplies{ServerStreamingServer: stream}
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(r.Left*float64(time.Second)))
 	defer cancel()
 	if !strings.HasPrefix(r.Path, "/v1/") {
