Confine a panic to its request, and log failed attempts of the older path

Cause: grpc-go ends the process when a handler panics; net/http wrote panics and its own errors to standard error, apart from the structured log and without the request's id. Change: handlers of calls and requests recover, log the method or the request's id with the stack, and fail that call or close that connection; net/http's log goes through the structured one; a failed attempt of the older path logs request, upstream, attempt, tokens and cause. The older path's client and trefoilload bound a response's header at 64 KiB. Result: TestPanicEndsOneCall, TestPanicEndsOneRequest; without recovery the test process itself ends.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return fmt.Errorf("control: internal listener: %w", err)
 	}
-	internalServer, err := dialer.NewServer(settings.Secret, settings.Mutual, controller.AcceptsOperatorToken)
+	internalServer, err := dialer.NewServer(settings.Secret, settings.Mutual, controller.AcceptsOperatorToken, c.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
--- a/internal/dialer/capacity_test.go
+++ b/internal/dialer/capacity_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -66,7 +68,7 @@
 func BenchmarkCapacityCall(b *testing.B) {
 	for _, n := range []int{1, 20, 100} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s, err := NewServer("secret", nil, func(string) bool { return false })
+			s, err := NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -8,9 +8,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -145,8 +147,9 @@
 
 // NewServer returns a gRPC server for the internal listener. It requires client certificates
 // unless mutualTLS is nil. It rejects calls without the secret with ErrWrongSecret, except to
-// methods for which exempt returns true: their handlers check an operator's token instead.
-func NewServer(secret string, mutualTLS *schema.Tls, exempt func(method string) bool) (*grpc.Server, error) {
+// methods for which exempt returns true: their handlers check an operator's token instead. A
+// handler that panics fails its own call with codes.Internal, and is logged.
+func NewServer(secret string, mutualTLS *schema.Tls, exempt func(method string) bool, log zerolog.Logger) (*grpc.Server, error) {
 	creds, err := serverCredentials(mutualTLS)
 	if err != nil {
 		return nil, err
@@ -162,13 +165,15 @@
 		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
-		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
+			defer recoverCall(log, info.FullMethod, &err)
 			if err := authorize(ctx, info.FullMethod); err != nil {
 				return nil, err
 			}
 			return next(ctx, req)
 		}),
-		grpc.StreamInterceptor(func(srv any, s grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+		grpc.StreamInterceptor(func(srv any, s grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) (err error) {
+			defer recoverCall(log, info.FullMethod, &err)
 			if err := authorize(s.Context(), info.FullMethod); err != nil {
 				return err
 			}
@@ -177,6 +182,14 @@
 	), nil
 }
 
+// recoverCall turns a panic of the handler of a call into an error of that call. It must be deferred.
+func recoverCall(log zerolog.Logger, method string, err *error) {
+	if v := recover(); v != nil {
+		log.Error().Str("method", method).Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler panicked")
+		*err = status.Errorf(codes.Internal, "dialer: the handler of %s failed", method)
+	}
+}
+
 func hasSecret(ctx context.Context, secret string) bool {
 	md, _ := metadata.FromIncomingContext(ctx)
 	got := md.Get(secretHeader)
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -3,9 +3,15 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/trefoilloft/trefoilloft/internal/disrupter"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -15,7 +21,7 @@
 // connection. A proxy drops the data of the open connection, in one direction or both, while
 // new connections work: the first call exceeds its deadline, and the next one must succeed.
 func TestUnresponsiveConnectionReplaced(t *testing.T) {
-	s, err := NewServer("secret", nil, func(string) bool { return false })
+	s, err := NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +68,7 @@
 
 // TestWrongSecret guards against calls being accepted from a process without the secret.
 func TestWrongSecret(t *testing.T) {
-	s, err := NewServer("secret", nil, func(string) bool { return false })
+	s, err := NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,3 +89,54 @@
 		t.Error("a call with a wrong secret was accepted")
 	}
 }
+
+// panickingServer panics in every call.
+type panickingServer struct {
+	schema.UnimplementedEntryServiceServer
+}
+
+func (panickingServer) Donate(context.Context, *schema.DonateRequest) (*schema.DonateReply, error) {
+	panic("broken")
+}
+
+func (panickingServer) Forward(*schema.ForwardRequest, grpc.ServerStreamingServer[schema.ForwardReply]) error {
+	panic("broken")
+}
+
+// TestPanicEndsOneCall guards against a process that ends because the handler of one call panics:
+// the call fails with an internal error, and the server goes on.
+func TestPanicEndsOneCall(t *testing.T) {
+	var log strings.Builder
+	s, err := NewServer("secret", nil, func(string) bool { return false }, zerolog.New(&log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema.RegisterEntryServiceServer(s, panickingServer{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	d := &Dialer{Secret: "secret", Timer: &timer.Service{}}
+	defer d.Close()
+	c, err := d.EntryClient(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := c.Donate(t.Context(), &schema.DonateRequest{}); status.Code(err) != codes.Internal {
+			t.Errorf("unary call: %v", err)
+		}
+		stream, err := c.Forward(t.Context(), &schema.ForwardRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := stream.Recv(); status.Code(err) != codes.Internal {
+			t.Errorf("stream: %v", err)
+		}
+	}
+	s.GracefulStop()
+	if got := strings.Count(log.String(), "handler panicked"); got != 4 {
+		t.Errorf("%d log lines for 4 panics:\n%s", got, log.String())
+	}
+}
--- a/internal/dialer/mutual_test.go
+++ b/internal/dialer/mutual_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -56,7 +58,7 @@
 // another authority; a process with a certificate of the same authority must be accepted.
 func TestMutualTLS(t *testing.T) {
 	ours, other := writeCertificate(t, t.TempDir()), writeCertificate(t, t.TempDir())
-	s, err := NewServer("secret", ours, func(string) bool { return false })
+	s, err := NewServer("secret", ours, func(string) bool { return false }, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -104,7 +104,7 @@
 // Run sends the load until Duration has passed or ctx ends, waits for the answers, and returns what
 // callers saw, in the order of Customers.
 func (l *Loader) Run(ctx context.Context) []Result {
-	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true, MaxResponseHeaderBytes: 64 << 10}}
 	l.stats = map[string]*customerStats{}
 	var wg sync.WaitGroup
 	startedAt := time.Now()
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -20,6 +20,8 @@
 	maxIdlePerHost     = 256
 	stallCheckInterval = 200 * time.Millisecond
 	keepAliveInterval  = 5 * time.Second
+	// Maximum size of a response's header.
+	maxHeaderBytes = 64 << 10
 )
 
 // Errors of requests to upstreams. Compare with errors.Is.
@@ -58,7 +60,7 @@
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -83,11 +83,13 @@
 			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, PrefixHash: c.prefixHash, Excluded: history.excluded,
 		})
 		if err != nil {
+			s.Log.Warn().Err(err).Str("request", c.requestID).Str("pool", c.model).Int("attempt", n).Int("excluded", len(history.excluded)).Msg("no upstream for the attempt")
 			break
 		}
 		tokensBefore := c.delivered.tokens
 		err = s.runOnUpstream(ctx, c, reservation, history.needsNewConnection(reservation.Name), out)
 		reconnect := history.record(reservation.Name, err, c.delivered.tokens > tokensBefore)
+		s.logAttempt(ctx, c, n, reservation, reconnect, err)
 		s.finishAttempt(ctx, reservation, err, reconnect)
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerLeft) || isRefusal(err) {
 			return err
@@ -110,6 +112,16 @@
 	return true
 }
 
+// logAttempt logs an attempt that failed, n counted from 0. reconnect means that the upstream may be
+// attempted again.
+func (s *Server) logAttempt(ctx context.Context, c *completion, n int, reservation *router.Reservation, reconnect bool, err error) {
+	if err == nil {
+		return
+	}
+	s.Log.Warn().Err(err).Str("request", c.requestID).Str("upstream", reservation.Name).Str("address", reservation.Address).Int("attempt", n).
+		Dur("age", s.Timer.Now()-c.startedAt).Int("tokens", c.delivered.tokens).Bool("reconnect", reconnect).AnErr("context", context.Cause(ctx)).Msg("attempt failed")
+}
+
 // finishAttempt releases the slot at the upstream and counts how the attempt ended. If a connection
 // stalled, all idle ones to the upstream are closed: they may be dead too.
 func (s *Server) finishAttempt(ctx context.Context, reservation *router.Reservation, err error, reconnect bool) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -159,7 +160,7 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("server: listen on the public address: %w", err), internalListener.Close())
 	}
-	grpcServer, err := dialer.NewServer(s.Settings.Secret, s.Settings.Mutual, acceptsOperatorToken)
+	grpcServer, err := dialer.NewServer(s.Settings.Secret, s.Settings.Mutual, acceptsOperatorToken, s.Log)
 	if err != nil {
 		return errors.Join(err, internalListener.Close(), publicListener.Close())
 	}
@@ -181,7 +182,7 @@
 func (s *Server) newHTTPServer() *http.Server {
 	return &http.Server{
 		Handler: s.handler(), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleConnectionTimeout,
+		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleConnectionTimeout, ErrorLog: stdlog.New(s.Log, "", 0),
 	}
 }
 
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return fmt.Errorf("starter: internal listener: %w", err)
 	}
-	grpcServer, err := dialer.NewServer(c.Settings.Secret, nil, func(string) bool { return false })
+	grpcServer, err := dialer.NewServer(c.Settings.Secret, nil, func(string) bool { return false }, c.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
@@ -87,7 +87,7 @@
 	g.Add(func() error { return c.controller.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
 	for _, listener := range c.Listeners(cluster, c) {
-		g.Add(func() error { return serveHTTP(ctx, listener) }, func(error) { cancel() })
+		g.Add(func() error { return serveHTTP(ctx, listener, c.Log) }, func(error) { cancel() })
 	}
 	c.Log.Info().Bool("first", c.FirstStart).Str("internal", c.Settings.Internal).Msg("control host started")
 	err = g.Run()
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return fmt.Errorf("starter: internal listener: %w", err)
 	}
-	grpcServer, err := dialer.NewServer(e.Settings.Secret, nil, func(string) bool { return false })
+	grpcServer, err := dialer.NewServer(e.Settings.Secret, nil, func(string) bool { return false }, e.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
@@ -129,7 +129,7 @@
 	g.Add(func() error { return e.refresher.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
 	for _, listener := range e.Listeners(e) {
-		g.Add(func() error { return serveHTTP(componentsCtx, listener) }, func(error) { cancel() })
+		g.Add(func() error { return serveHTTP(componentsCtx, listener, e.Log) }, func(error) { cancel() })
 	}
 	g.Add(func() error { return e.waitForStop(ctx, componentsCtx) }, func(error) { cancel() })
 	stopDispatch := e.Timer.Every(dispatchInterval, e.scheduler.DispatchAll)
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"runtime"
@@ -77,22 +78,26 @@
 	return zerolog.New(out).With().Timestamp().Str("host", name).Logger()
 }
 
-// Listener describes an HTTP server. Errors contain its Name.
+// Listener describes an HTTP server. Errors and log lines contain its Name.
 type Listener struct {
 	Name    string
 	Address string
 	Handler http.Handler
+	// IDHeader is the header that holds a request's ID, for log lines; empty: none.
+	IDHeader string
 }
 
 // serveHTTP serves until ctx ends, then closes the listener and all open connections. Whoever
 // ends ctx decides when open connections may be closed.
-func serveHTTP(ctx context.Context, l Listener) error {
+func serveHTTP(ctx context.Context, l Listener, log zerolog.Logger) error {
 	ln, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return fmt.Errorf("starter: %s listener: %w", l.Name, err)
 	}
+	log = log.With().Str("listener", l.Name).Logger()
 	s := &http.Server{
-		Handler: l.Handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(log, "", 0),
 	}
 	context.AfterFunc(ctx, func() { _ = s.Close() })
 	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -101,6 +106,25 @@
 	return nil
 }
 
+// recoverRequests returns a handler that logs a panic of l.Handler with the request's ID and closes
+// the connection of that request, whose caller must not take the response for a whole one.
+func recoverRequests(l Listener, log zerolog.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v != http.ErrAbortHandler {
+				log.Error().Str("request", r.Header.Get(l.IDHeader)).Str("method", r.Method).Str("path", r.URL.Path).
+					Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler panicked")
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		l.Handler.ServeHTTP(w, r)
+	})
+}
+
 // MetricsHandler returns a handler that serves the collectors' metrics, and those of the Go
 // runtime and the process, in the Prometheus format.
 func MetricsHandler(all []prometheus.Collector) http.Handler {
--- /dev/null
+++ b/internal/starter/recover_test.go
@@ -0,0 +1,63 @@
+package starter
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+// TestPanicEndsOneRequest guards against a process that ends because the handling of one request
+// panics. That request's connection is closed without a response, the next request is answered,
+// and the log names the request.
+func TestPanicEndsOneRequest(t *testing.T) {
+	var log strings.Builder
+	h := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/bad" {
+			panic("broken")
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- serveHTTP(ctx, Listener{Name: "front", Address: address, Handler: h, IDHeader: "Id"}, zerolog.New(&log))
+	}()
+	status := func(path string) int {
+		for {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				continue // not listening yet
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: r-7\r\n\r\n"))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return 0
+			}
+			return response.StatusCode
+		}
+	}
+	if got := status("/bad"); got != 0 {
+		t.Errorf("request whose handler panics: status %d", got)
+	}
+	if got := status("/good"); got != http.StatusOK {
+		t.Errorf("next request: status %d", got)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if got := log.String(); !strings.Contains(got, `"request":"r-7"`) || !strings.Contains(got, "broken") {
+		t.Errorf("log: %s", got)
+	}
+}
