Lend customers' tokens at each control host, and sum loads there

Cause: the leader did work for each entry host in proportion to all of them. It received every report of every entry host with its loads and the demand for 40 customers, divided each customer's limits among all hosts (walking all of them for each customer), and where a burst is small for the number of hosts lent for each single request, over 80 ms from two of three regions. Change: the leader divides limits among the control hosts, each of which lends to the entry hosts that report to it; entry hosts have no allotments. Control hosts forward entry hosts without loads, unchanged ones every 0.4 s, and send the leader sums of loads by region; sums and digests are reused for 50 ms. A loan that a control host does not answer in 0.35 s is asked of another.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -44,7 +44,7 @@
 // Unwrap returns ErrOverRate.
 func (e *OverRateError) Unwrap() error { return ErrOverRate }
 
-// Bucket spends one host's allotments and loans, for all customers. Set the exported fields
+// Bucket holds one host's allotments and loans, for all customers. Set the exported fields
 // before use.
 type Bucket struct {
 	// Now returns the time on this host's clock.
@@ -54,6 +54,8 @@
 	// SlackTokens is the number of tokens by which the bursts of all hosts together may exceed a
 	// customer's, so that a small allotment still holds a whole request.
 	SlackTokens float64
+	// LoansOnly is set on hosts that have no allotments and spend only what a Lender lends them.
+	LoansOnly bool
 
 	mu              sync.Mutex
 	hostCount       int                 // of the newest allotment, 0 before the first; guarded by mu
@@ -75,6 +77,10 @@
 	// refused one, none is requested until noAheadUntil.
 	borrowingAhead bool
 	noAheadUntil   time.Duration
+	// lentAhead were lent on to other hosts ahead of need, as of lentAheadAt, and may still be
+	// spent; only a Lender's Bucket uses them.
+	lentAhead   float64
+	lentAheadAt time.Duration
 	// noLoanUntil is when the leader will have tokens to lend again.
 	noLoanUntil time.Duration
 	// rate and burst are this host's allotment, valid until allottedUntil.
@@ -230,7 +236,12 @@
 func (b *Bucket) Refund(customer string, tokens float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a := b.customers[customer]; a != nil {
+	a := b.customers[customer]
+	switch {
+	case a == nil:
+	case b.LoansOnly:
+		a.borrowed += tokens
+	default:
 		a.level += tokens
 	}
 }
@@ -322,6 +333,9 @@
 // hostLimits returns the rate and burst that this host may spend at a time: its allotment
 // while that is valid, else an equal share of the floor.
 func (b *Bucket) hostLimits(a *account, limits Limits, at time.Duration) (rate, burst float64) {
+	if b.LoansOnly {
+		return 0, 0
+	}
 	hosts := b.sharingHosts()
 	rate, burst = limits.Rate*floorFraction/hosts, limits.Burst*floorFraction/hosts
 	if at < a.allottedUntil {
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -79,6 +79,10 @@
 // not flow into it.
 func (a *Allocator) fillReserve(customer string, limits Limits, now time.Duration) (r *reserve, rate, maxLevel float64) {
 	freeFraction := 1 - a.unallottedFraction("", customer, now) - a.allottedRate(customer, "", now)/limits.Rate
+	if now-a.startedAt < StartDelay {
+		// Allotments of the earlier leader may be in use: only what is never divided is free.
+		freeFraction = minReserveFraction * (1 - floorFraction)
+	}
 	rate = limits.Rate * math.Max(0, freeFraction)
 	maxLevel = limits.Burst * math.Max(0, freeFraction)
 	r = a.reserves[customer]
--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -22,6 +22,8 @@
 	// Time after which the report of an unchanged upstream is forwarded to the leader again, and
 	// the age up to which an entry host's report is forwarded.
 	forwardInterval = 3 * time.Second
+	// Time after which the report of an unchanged entry host is forwarded again.
+	hostForwardInterval = 400 * time.Millisecond
 	// Time without a report after which callers are no longer sent to an entry host.
 	hostTimeout = 2 * time.Second
 )
@@ -43,6 +45,12 @@
 	upstreams     map[string]*upstream  // by name; guarded by mu
 	addressOwners map[string]string     // address → name of the upstream that started last there; guarded by mu
 	hosts         map[string]*entryHost // by name; guarded by mu
+	// controlLoads holds the loads that other control hosts sent, by their address; guarded by mu
+	controlLoads map[string]controlLoad
+	regionTotals map[string]*regionTotal // by region; guarded by mu
+	// digests are those of all regions, computed at digestsAt; guarded by mu
+	digests   []*schema.RegionDigest
+	digestsAt time.Duration
 }
 
 // upstream is the newest report of an upstream.
@@ -64,6 +72,9 @@
 	// controlAddress is the address of the control host that the entry host reports to; empty if
 	// that is this one.
 	controlAddress string
+	// forwardedAt is the time at which the report was last forwarded to the leader; 0: not since
+	// the last change.
+	forwardedAt time.Duration
 }
 
 // Start empties the table and invalidates all positions in it.
@@ -193,7 +204,7 @@
 		t.revision++
 		updated.revision = t.revision
 	} else {
-		updated.revision = old.revision
+		updated.revision, updated.forwardedAt = old.revision, old.forwardedAt
 	}
 	t.hosts[p.Name] = updated
 	return changed
@@ -353,8 +364,8 @@
 }
 
 // ReportsToForward returns the reports that upstreams and entry hosts sent to this host itself
-// and that the leader needs, and marks them as forwarded. Changed upstreams are returned at
-// once, unchanged ones every forwardInterval, entry hosts each time.
+// and that the leader needs, and marks them as forwarded: those that changed at once, unchanged
+// upstreams every forwardInterval and unchanged entry hosts every hostForwardInterval.
 func (t *Table) ReportsToForward() ([]*schema.Announcement, []*schema.Peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -367,22 +378,24 @@
 		}
 	}
 	for _, p := range t.hosts {
-		if p.controlAddress == "" && now-p.reportedAt < forwardInterval {
-			report := proto.Clone(p.report).(*schema.Peer)
-			report.Age = (now - p.reportedAt).Seconds()
-			c.Hosts = append(c.Hosts, report)
+		if p.controlAddress == "" && now-p.reportedAt < forwardInterval && (p.forwardedAt == 0 || now-p.forwardedAt >= hostForwardInterval) {
+			p.forwardedAt = now
+			c.Hosts = append(c.Hosts, reportWithoutLoads(p, now))
 		}
 	}
 	sortChanges(&c)
 	return c.Upstreams, c.Hosts
 }
 
-// ResetForwarded makes ReportsToForward return all upstreams' reports again, for when the leader
-// may not have received them.
+// ResetForwarded makes ReportsToForward return all reports again, for when the leader may not have
+// received them.
 func (t *Table) ResetForwarded() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.upstreams {
 		u.forwardedAt = 0
 	}
+	for _, p := range t.hosts {
+		p.forwardedAt = 0
+	}
 }
--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -9,30 +9,173 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
-// maxLoadAge is the age up to which an entry host's load figures are used.
-const maxLoadAge = 2500 * time.Millisecond
+const (
+	// Age up to which an entry host's load figures are used, and the sums of another control host.
+	// A host that turns to another control host counts at both for that long.
+	maxLoadAge = time.Second
+	// Time for which sums over hosts are reused.
+	loadCacheDuration = 50 * time.Millisecond
+)
+
+// controlLoad is the load of the entry hosts that report to another control host.
+type controlLoad struct {
+	regions    []*schema.RegionLoad
+	receivedAt time.Duration
+}
+
+// regionTotal is the load of all entry hosts of a region.
+type regionTotal struct {
+	computedAt time.Duration
+	sums       map[string]*schema.PoolLoad // by pool
+	// included holds the reports in sums of the hosts that report to this control host, by name.
+	included map[string]*schema.Peer
+}
+
+// StoreLoads stores the load of the entry hosts that report to another control host.
+func (t *Table) StoreLoads(controlAddress string, regions []*schema.RegionLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.controlLoads == nil {
+		t.controlLoads = map[string]controlLoad{}
+	}
+	now := t.Timer.Now()
+	for address, c := range t.controlLoads {
+		if now-c.receivedAt > maxLoadAge {
+			delete(t.controlLoads, address)
+		}
+	}
+	t.controlLoads[controlAddress] = controlLoad{regions: regions, receivedAt: now}
+}
+
+// DirectLoads returns the requests that the entry hosts reporting to this control host have in
+// progress, summed by region, pool and upstream.
+func (t *Table) DirectLoads() []*schema.RegionLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	regions := map[string]map[string]*schema.PoolLoad{}
+	for _, p := range t.hosts {
+		if !t.directLoadOf(p, now) || len(p.report.Loads) == 0 {
+			continue
+		}
+		if regions[p.report.Region] == nil {
+			regions[p.report.Region] = map[string]*schema.PoolLoad{}
+		}
+		addLoads(regions[p.report.Region], p.report.Loads)
+	}
+	var out []*schema.RegionLoad
+	for _, region := range slices.Sorted(maps.Keys(regions)) {
+		out = append(out, &schema.RegionLoad{Region: region, Loads: sortedLoads(regions[region])})
+	}
+	return out
+}
 
-// Loads returns the requests that a region's entry hosts have in progress, summed by pool and
-// upstream. It leaves out the host named exceptHost and the hosts that report to the control
-// host at exceptControl: empty means this control host, "-" leaves out none.
-func (t *Table) Loads(region, exceptHost, exceptControl string) []*schema.PoolLoad {
+// directLoadOf reports whether an entry host reports its load to this control host.
+func (t *Table) directLoadOf(p *entryHost, now time.Duration) bool {
+	return p.controlAddress == "" && now-p.reportedAt <= maxLoadAge
+}
+
+// Loads returns the load of a region's entry hosts, summed by pool and upstream, without those that
+// report to the control host at exceptControl.
+func (t *Table) Loads(region, exceptControl string) []*schema.PoolLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	sums := map[string]*schema.PoolLoad{}
-	for name, p := range t.hosts {
-		if name != exceptHost && p.controlAddress != exceptControl && p.report.Region == region && now-p.reportedAt <= maxLoadAge {
+	t.addControlLoads(sums, region, exceptControl, now)
+	for _, p := range t.hosts {
+		if p.report.Region == region && t.directLoadOf(p, now) {
 			addLoads(sums, p.report.Loads)
 		}
 	}
 	return sortedLoads(sums)
 }
 
-// Digests returns each region's capacity and load by pool, except for one region.
+func (t *Table) addControlLoads(sums map[string]*schema.PoolLoad, region, exceptControl string, now time.Duration) {
+	for address, c := range t.controlLoads {
+		if address == exceptControl || now-c.receivedAt > maxLoadAge {
+			continue
+		}
+		for _, r := range c.regions {
+			if r.Region == region {
+				addLoads(sums, r.Loads)
+			}
+		}
+	}
+}
+
+// LoadsFor returns the load of the other entry hosts of a host's region. fromLeader is the load of
+// the hosts that report to other control hosts, as received from the leader; nil on the leader.
+// The result may be as old as loadCacheDuration.
+func (t *Table) LoadsFor(host *schema.Peer, fromLeader *schema.ConsultReply) []*schema.PoolLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	total := t.regionTotals[host.Region]
+	if total == nil || now-total.computedAt >= loadCacheDuration {
+		total = &regionTotal{computedAt: now, sums: map[string]*schema.PoolLoad{}, included: map[string]*schema.Peer{}}
+		if fromLeader != nil {
+			addLoads(total.sums, fromLeader.Loads)
+		} else {
+			t.addControlLoads(total.sums, host.Region, "", now)
+		}
+		for name, p := range t.hosts {
+			if p.report.Region == host.Region && t.directLoadOf(p, now) {
+				addLoads(total.sums, p.report.Loads)
+				total.included[name] = p.report
+			}
+		}
+		if t.regionTotals == nil {
+			t.regionTotals = map[string]*regionTotal{}
+		}
+		t.regionTotals[host.Region] = total
+	}
+	return total.without(host.Name)
+}
+
+// without returns the loads less those of one host, sorted by pool.
+func (r *regionTotal) without(host string) []*schema.PoolLoad {
+	sums := map[string]*schema.PoolLoad{}
+	for pool, l := range r.sums {
+		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading)}
+	}
+	for _, l := range r.included[host].GetLoads() {
+		s := sums[l.Pool]
+		s.Waiting -= l.Waiting
+		for name, n := range l.Running {
+			if s.Running[name] -= n; s.Running[name] <= 0 {
+				delete(s.Running, name)
+			}
+		}
+		for name, n := range l.Reading {
+			if s.Reading[name] -= n; s.Reading[name] <= 0 {
+				delete(s.Reading, name)
+			}
+		}
+	}
+	return sortedLoads(sums)
+}
+
+// Digests returns each region's capacity and load by pool, except for one region. The result may
+// be as old as loadCacheDuration.
 func (t *Table) Digests(exceptRegion string) []*schema.RegionDigest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
+	if t.digests == nil || now-t.digestsAt >= loadCacheDuration {
+		t.digests, t.digestsAt = t.computeDigests(now), now
+	}
+	var out []*schema.RegionDigest
+	for _, d := range t.digests {
+		if d.Region != exceptRegion {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// computeDigests returns the digests of all regions, sorted by region.
+func (t *Table) computeDigests(now time.Duration) []*schema.RegionDigest {
 	digests := map[string]map[string]*schema.ModelDigest{}
 	digestFor := func(region, pool string) *schema.ModelDigest {
 		if digests[region] == nil {
@@ -44,24 +187,33 @@
 		return digests[region][pool]
 	}
 	for _, u := range t.upstreams {
-		if a := u.report; a.Region != exceptRegion && !a.Leaving && !a.Gone && !a.Silent {
+		if a := u.report; !a.Leaving && !a.Gone && !a.Silent {
 			d := digestFor(a.Region, a.Pool)
 			d.Replicas++
 			d.Slots += a.Slots
 		}
 	}
-	for _, p := range t.hosts {
-		if p.report.Region == exceptRegion || now-p.reportedAt > maxLoadAge {
-			continue
-		}
-		for _, l := range p.report.Loads {
-			d := digestFor(p.report.Region, l.Pool)
+	addLoad := func(region string, loads []*schema.PoolLoad) {
+		for _, l := range loads {
+			d := digestFor(region, l.Pool)
 			d.Waiting += l.Waiting
 			for _, n := range l.Running {
 				d.Running += n
 			}
 		}
 	}
+	for _, p := range t.hosts {
+		if t.directLoadOf(p, now) {
+			addLoad(p.report.Region, p.report.Loads)
+		}
+	}
+	for _, c := range t.controlLoads {
+		if now-c.receivedAt <= maxLoadAge {
+			for _, r := range c.regions {
+				addLoad(r.Region, r.Loads)
+			}
+		}
+	}
 	var out []*schema.RegionDigest
 	for _, region := range slices.Sorted(maps.Keys(digests)) {
 		d := &schema.RegionDigest{Region: region}
@@ -73,28 +225,6 @@
 	return out
 }
 
-// DirectLoads is like Loads for the entry hosts that report to this control host.
-func (t *Table) DirectLoads(region, exceptHost string) []*schema.PoolLoad {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	sums := map[string]*schema.PoolLoad{}
-	for name, p := range t.hosts {
-		if name != exceptHost && p.controlAddress == "" && p.report.Region == region && now-p.reportedAt <= maxLoadAge {
-			addLoads(sums, p.report.Loads)
-		}
-	}
-	return sortedLoads(sums)
-}
-
-// MergeLoads returns the sum of two lists of loads, sorted by pool.
-func MergeLoads(a, b []*schema.PoolLoad) []*schema.PoolLoad {
-	sums := map[string]*schema.PoolLoad{}
-	addLoads(sums, a)
-	addLoads(sums, b)
-	return sortedLoads(sums)
-}
-
 func addLoads(sums map[string]*schema.PoolLoad, loads []*schema.PoolLoad) {
 	for _, l := range loads {
 		s := sums[l.Pool]
--- /dev/null
+++ b/internal/cataloger/load_test.go
@@ -0,0 +1,87 @@
+package cataloger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// loadReport returns the report of a host with n requests at each of two upstreams.
+func loadReport(name, region string, number uint64, n int32) *schema.Peer {
+	return &schema.Peer{Name: name, Region: region, Ready: true, Incarnation: 1, Number: number, Loads: []*schema.PoolLoad{{
+		Pool: "p", Waiting: n, Running: map[string]int32{"u1": n, "u2": 2 * n}, Reading: map[string]int64{"u1": int64(n) * 100},
+	}}}
+}
+
+// TestLoadsThroughControlHosts guards against load that is counted twice, not at all, or for the
+// host itself, when the hosts of a region report to different control hosts. Hosts 0 to 2 report
+// to the leader, 3 to 5 to a follower; host 6 is of another region.
+func TestLoadsThroughControlHosts(t *testing.T) {
+	leader, follower := newTable(t), newTable(t)
+	tables := []*Table{leader, leader, leader, follower, follower, follower, follower}
+	for i, x := range tables {
+		region := "r"
+		if i == 6 {
+			region = "s"
+		}
+		x.StoreHost(loadReport(fmt.Sprint("h", i), region, 1, 1<<i), "")
+	}
+	leader.StoreLoads("follower", follower.DirectLoads())
+	toFollower := &schema.ConsultReply{Loads: leader.Loads("r", "follower")}
+	want := func(n int32) []*schema.PoolLoad { return loadReport("", "", 0, n).Loads }
+	for i, x := range tables[:6] {
+		fromLeader := toFollower
+		if x == leader {
+			fromLeader = nil
+		}
+		got := x.LoadsFor(&schema.Peer{Name: fmt.Sprint("h", i), Region: "r"}, fromLeader)
+		if diff := cmp.Diff(want(0b111111-1<<i), got, protocmp.Transform()); diff != "" {
+			t.Errorf("host %d: -want +got\n%s", i, diff)
+		}
+	}
+	digests := leader.Digests("r")
+	wantDigests := []*schema.RegionDigest{{Region: "s", Routes: []*schema.ModelDigest{{Name: "p", Waiting: 1 << 6, Running: 3 << 6}}}}
+	if diff := cmp.Diff(wantDigests, digests, protocmp.Transform()); diff != "" {
+		t.Errorf("digests: -want +got\n%s", diff)
+	}
+	leader.Timer.Advance(maxLoadAge + time.Millisecond)
+	for i := range 3 {
+		leader.StoreHost(loadReport(fmt.Sprint("h", i), "r", 2, 1<<i), "")
+	}
+	if diff := cmp.Diff(want(0b111), leader.Loads("r", ""), protocmp.Transform()); diff != "" {
+		t.Errorf("after the follower was lost: -want +got\n%s", diff)
+	}
+}
+
+// TestForwardedHostsDoNotGrowWithReports guards against a leader that receives every report of
+// every entry host: unchanged hosts are forwarded at intervals, without their loads, changed ones
+// at once.
+func TestForwardedHostsDoNotGrowWithReports(t *testing.T) {
+	x := newTable(t)
+	forwarded := 0
+	for n := range uint64(50) { // 50 reports in 2 s
+		x.Timer.Advance(40 * time.Millisecond)
+		x.StoreHost(loadReport("h", "r", n+1, 1), "")
+		_, hosts := x.ReportsToForward()
+		for _, p := range hosts {
+			if len(p.Loads) > 0 {
+				t.Fatal("a forwarded report has loads")
+			}
+		}
+		forwarded += len(hosts)
+	}
+	if most := int(2*time.Second/hostForwardInterval) + 1; forwarded > most {
+		t.Errorf("%d reports forwarded in 2 s, want at most %d", forwarded, most)
+	}
+	stopping := loadReport("h", "r", 51, 1)
+	stopping.Ready = false
+	x.StoreHost(stopping, "")
+	if _, hosts := x.ReportsToForward(); len(hosts) != 1 || hosts[0].Ready {
+		t.Errorf("a host that is not ready any more: forwarded %v", hosts)
+	}
+}
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,11 @@
 	sweepInterval      = 500 * time.Millisecond
 	// Age up to which the leader's figures on other hosts' load are used.
 	maxReplyAge = 5 * time.Second
+	// Time between two reports of the demand for customers' tokens.
+	demandReportInterval = 200 * time.Millisecond
+	// Number of customers up to which the demand for all of them is reported, also for those
+	// without requests: with more, reports would grow with the number of customers.
+	maxExpectedCustomers = 64
 )
 
 // ErrNotReady means that the group of control hosts cannot accept changes: no leader is
@@ -35,8 +41,8 @@
 var ErrNotReady = errors.New("controller: no leader of a whole group is known")
 
 // Cluster extends a Controller where control hosts discover each other: it joins the group
-// without an operator, keeps a catalog of upstreams and entry hosts, and divides limits among
-// entry hosts. Set the exported fields before the controller runs.
+// without an operator, keeps a catalog of upstreams and entry hosts, and lends customers' tokens
+// to entry hosts. Set the exported fields before the controller runs.
 type Cluster struct {
 	// Self describes this host. Its identity is set when the controller runs.
 	Self *schema.Member
@@ -48,23 +54,30 @@
 	// hosts there may be down.
 	SeedAddresses func() []string
 	Table         *cataloger.Table
-	Allocator     *allocator.Allocator
+	// Allocator divides customers' limits among the control hosts while this host leads.
+	Allocator *allocator.Allocator
+	// Bucket holds this host's part of customers' limits, out of which it lends to entry hosts.
+	Bucket *allocator.Bucket
 
+	lender     *allocator.Lender
 	c          *Controller
 	consultNow chan struct{} // ends the wait before the next Consult call
 
 	mu                   sync.Mutex
-	candidates           map[uint64]candidate         // by identity; guarded by mu
-	knownAddresses       map[string]bool              // control hosts' addresses received in replies to requests to join; guarded by mu
-	confirmedAt          time.Duration                // latest time, on the clock of the controller's Timer, as of which the configuration here was confirmed as the newest; 0: never; guarded by mu
-	pendingConfirmations []confirmation               // confirmations whose entries are not yet applied; guarded by mu
-	lastReply            *schema.ConsultReply         // last Consult reply of a leader; guarded by mu
-	lastReplyRequestedAt time.Duration                // when lastReply was requested; guarded by mu
-	allotments           map[string]receivedAllotment // by host; guarded by mu
-	consultedAddress     string                       // address of the leader that was last sent reports; only consult uses it
-	cursor               uint64                       // position in the table of the leader; only consult uses it
-	process              uint64                       // identifies the table that cursor belongs to; only consult uses it
-	leaderLost           bool                         // the last Consult call failed; only consult uses it
+	candidates           map[uint64]candidate // by identity; guarded by mu
+	knownAddresses       map[string]bool      // control hosts' addresses received in replies to requests to join; guarded by mu
+	confirmedAt          time.Duration        // latest time, on the clock of the controller's Timer, as of which the configuration here was confirmed as the newest; 0: never; guarded by mu
+	pendingConfirmations []confirmation       // confirmations whose entries are not yet applied; guarded by mu
+	lastReply            *schema.ConsultReply // last Consult reply of a leader; guarded by mu
+	lastReplyRequestedAt time.Duration        // when lastReply was requested; guarded by mu
+
+	// Only consultLoop uses the fields below.
+	consultedAddress string        // address of the leader that was last sent reports
+	cursor           uint64        // position in the table of the leader
+	process          uint64        // identifies the table that cursor belongs to
+	leaderLost       bool          // the last Consult call failed
+	demandReportedAt time.Duration // time of the last report of demand
+	demandReports    uint64        // number of reports of demand
 }
 
 // confirmation confirms the configuration as the newest as of requestedAt, once all entries
@@ -74,21 +87,14 @@
 	commit      uint64
 }
 
-// receivedAllotment is a host's allotment as the leader gave it in reply to a call made at
-// requestedAt.
-type receivedAllotment struct {
-	allotment   *schema.Allotment
-	requestedAt time.Duration
-}
-
 func (k *Cluster) start(ctx context.Context, c *Controller) {
 	k.c = c
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
+	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
 	k.candidates = map[uint64]candidate{}
 	k.knownAddresses = map[string]bool{}
-	k.allotments = map[string]receivedAllotment{}
 	k.mu.Unlock()
 	go k.joinLoop(ctx)
 	go k.consultLoop(ctx)
@@ -194,11 +200,17 @@
 }
 
 // consultLoop calls the leader with the reports that this host received, and confirms what
-// is committed. On the leader it does the latter only.
+// is committed. The leader only gives itself an allotment.
 func (k *Cluster) consultLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		consultedAt := k.c.Timer.Now()
-		if v := k.c.view.Load(); v.role != leaderRole && v.leaderAddress() != "" {
+		v := k.c.view.Load()
+		switch {
+		case v.holdsLease(consultedAt):
+			if report := k.demandReport(); report != nil {
+				k.Bucket.ApplyAllotment(k.Allocator.Allot(report), consultedAt)
+			}
+		case v.role != leaderRole && v.leaderAddress() != "":
 			k.consult(ctx, v.leaderAddress())
 		}
 		k.confirmApplied()
@@ -236,6 +248,7 @@
 	requestedAt := k.c.Timer.Now()
 	reply, err := client.Consult(ctx, &schema.ConsultRequest{
 		Region: k.Self.Region, Address: k.Self.Address, Upstreams: upstreams, Peers: hosts, Cursor: k.cursor, Process: k.process,
+		Loads: k.Table.DirectLoads(), Lender: k.demandReport(),
 	})
 	if err != nil || !reply.Leader {
 		k.Table.ResetForwarded()
@@ -246,6 +259,59 @@
 	k.storeReply(reply, leader, requestedAt)
 }
 
+// demandReport returns a report of the demand for customers' tokens, in reply to which the leader
+// gives an allotment; nil if the last one was made less than demandReportInterval ago.
+func (k *Cluster) demandReport() *schema.Peer {
+	now := k.c.Timer.Now()
+	if now-k.demandReportedAt < demandReportInterval {
+		return nil
+	}
+	k.demandReportedAt = now
+	k.demandReports++
+	p := &schema.Peer{Name: k.Self.Address, Incarnation: k.Self.Id, Number: k.demandReports}
+	p.Demands, p.Allotment = k.Bucket.Report(k.expectedCustomers())
+	return p
+}
+
+// expectedCustomers returns the names of all customers, each of which may send requests at any
+// time, or nil if there are more than maxExpectedCustomers.
+func (k *Cluster) expectedCustomers() []string {
+	paths := k.c.Distributor.Current().Paths("customer")
+	if len(paths) > maxExpectedCustomers {
+		return nil
+	}
+	for i, p := range paths {
+		paths[i] = strings.TrimPrefix(p, "customer/")
+	}
+	return paths
+}
+
+// draw requests tokens of a customer from the leader's reserve, for the Lender. It returns
+// ErrNotReady if no leader is known or the one that is does not lead.
+func (k *Cluster) draw(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
+	v := k.c.view.Load()
+	if v.holdsLease(k.c.Timer.Now()) {
+		tokens, retry := k.Allocator.Lend(customer, minTokens, maxTokens)
+		return tokens, retry, nil
+	}
+	address := v.leaderAddress()
+	if address == "" || v.role == leaderRole {
+		return 0, 0, ErrNotReady
+	}
+	client, err := k.clusterClient(address)
+	if err != nil {
+		return 0, 0, err
+	}
+	reply, err := client.Draw(ctx, &schema.BorrowRequest{Customer: customer, Need: minTokens, Wish: maxTokens})
+	if err != nil {
+		return 0, 0, errors.Join(ErrNotReady, err)
+	}
+	if !reply.Leader {
+		return 0, 0, ErrNotReady
+	}
+	return reply.Tokens, time.Duration(reply.Retry * float64(time.Second)), nil
+}
+
 // setLeaderLost logs when the leader is lost or regained.
 func (k *Cluster) setLeaderLost(lost bool, leader string, err error) {
 	if lost == k.leaderLost {
@@ -267,12 +333,10 @@
 		k.Table.StoreHost(p, leader)
 	}
 	k.cursor, k.process = r.Cursor, r.Process
+	k.Bucket.ApplyAllotment(r.Allotment, requestedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lastReply, k.lastReplyRequestedAt = r, requestedAt
-	for _, a := range r.Allotments {
-		k.allotments[a.Host] = receivedAllotment{allotment: a, requestedAt: requestedAt}
-	}
 	k.pendingConfirmations = append(k.pendingConfirmations, confirmation{requestedAt: requestedAt, commit: r.Commit})
 }
 
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -40,8 +38,8 @@
 }
 
 // Consult stores the reports that another control host received, and replies with what changed
-// in this host's table and with the allotments of the reporting entry hosts. The reply is
-// empty if this host does not lead.
+// in this host's table and with the sender's allotment. The reply is empty if this host does not
+// lead.
 func (s *ClusterService) Consult(_ context.Context, r *schema.ConsultRequest) (*schema.ConsultReply, error) {
 	k := s.Cluster
 	v := k.c.view.Load()
@@ -54,14 +52,15 @@
 	}
 	for _, p := range r.Peers {
 		k.Table.StoreHost(p, r.Address)
-		if a := k.Allocator.Allot(p); a != nil {
-			reply.Allotments = append(reply.Allotments, a)
-		}
+	}
+	k.Table.StoreLoads(r.Address, r.Loads)
+	if r.Lender != nil {
+		reply.Allotment = k.Allocator.Allot(r.Lender)
 	}
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, "")
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
 	reply.Cursor, reply.Process = changes.Cursor, changes.Process
-	reply.Loads = k.Table.Loads(r.Region, "", r.Address)
+	reply.Loads = k.Table.Loads(r.Region, r.Address)
 	reply.Digests = k.Table.Digests(r.Region)
 	return reply, nil
 }
@@ -75,8 +74,18 @@
 	return &schema.ReadReply{Leader: true, Number: v.document.GetNumber(), Source: v.document.GetSource()}, nil
 }
 
-// Borrow lends tokens from the reserve of a customer's limit.
-func (s *ClusterService) Borrow(_ context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
+// Borrow lends tokens of a customer to an entry host.
+func (s *ClusterService) Borrow(ctx context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
+	tokens, retry, err := s.Cluster.lender.Lend(ctx, r.Customer, r.Need, r.Wish)
+	if err != nil {
+		s.Cluster.c.Log.Warn().Err(err).Str("customer", r.Customer).Float64("need", r.Need).Msg("no tokens from the leader")
+		return &schema.BorrowReply{}, nil
+	}
+	return &schema.BorrowReply{Leader: true, Tokens: tokens, Retry: retry.Seconds()}, nil
+}
+
+// Draw lends tokens from the reserve of a customer's limits to another control host.
+func (s *ClusterService) Draw(_ context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
 	k := s.Cluster
 	if !k.c.view.Load().holdsLease(k.c.Timer.Now()) {
 		return &schema.BorrowReply{}, nil
@@ -108,41 +117,25 @@
 	reply.Cursor, reply.Process, reply.Whole = changes.Cursor, changes.Process, changes.Complete
 	reply.Controls = k.c.view.Load().nearestAddresses(r.Self)
 	reply.Leader = k.c.view.Load().leaderAddress()
-	k.fillAllotment(r.Self, reply)
+	k.fillLoads(r.Self, reply)
 	return reply, nil
 }
 
-// fillAllotment adds the host's allotment and the load that other hosts put on upstreams.
-func (k *Cluster) fillAllotment(self *schema.Peer, reply *schema.RefreshReply) {
+// fillLoads adds the load that other hosts put on upstreams.
+func (k *Cluster) fillLoads(self *schema.Peer, reply *schema.RefreshReply) {
 	now := k.c.Timer.Now()
 	if k.c.view.Load().holdsLease(now) {
-		reply.Allotment = k.Allocator.Allot(self)
-		reply.Loads = k.Table.Loads(self.Region, self.Name, "-")
+		reply.Loads = k.Table.LoadsFor(self, nil)
 		reply.Digests = k.Table.Digests(self.Region)
 		return
 	}
 	k.mu.Lock()
-	received, lastReply, lastReplyRequestedAt := k.allotments[self.Name], k.lastReply, k.lastReplyRequestedAt
+	lastReply, lastReplyRequestedAt := k.lastReply, k.lastReplyRequestedAt
 	k.mu.Unlock()
-	reply.Loads = k.Table.DirectLoads(self.Region, self.Name)
 	if lastReply != nil && now-lastReplyRequestedAt < maxReplyAge {
-		reply.Loads = cataloger.MergeLoads(reply.Loads, lastReply.Loads)
+		reply.Loads = k.Table.LoadsFor(self, lastReply)
 		reply.Digests = lastReply.Digests
+		return
 	}
-	if received.allotment != nil && received.allotment.Incarnation == self.Incarnation {
-		reply.Allotment = remainingAllotment(received, now)
-	}
-}
-
-// remainingAllotment returns an allotment with the remaining time of its lease; nil if it has
-// expired. The lease is counted from the request for it, which precedes the leader's grant.
-func remainingAllotment(received receivedAllotment, now time.Duration) *schema.Allotment {
-	leaseLeft := time.Duration(received.allotment.Lease) - (now - received.requestedAt)
-	if leaseLeft <= 0 {
-		return nil
-	}
-	return &schema.Allotment{
-		Host: received.allotment.Host, Incarnation: received.allotment.Incarnation, Number: received.allotment.Number,
-		Lease: int64(leaseLeft), Shares: received.allotment.Shares, Hosts: received.allotment.Hosts,
-	}
+	reply.Loads = k.Table.LoadsFor(self, nil)
 }
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// Timeout of a request to the leader for a loan: a round trip to another region and one
-	// retransmission.
+	// Timeout of a request for a loan: a control host may have to ask the leader, in another region,
+	// and one message may be sent again.
 	borrowTimeout = 800 * time.Millisecond
 	// Maximum time that a request waits for tokens, as a fraction of its latency objective.
 	maxTokenWaitFraction = 0.35
-	// Minimum interval between two requests to the leader for one caller's request.
+	// Minimum interval between two requests for a loan for one caller's request.
 	minBorrowInterval = 20 * time.Millisecond
 )
 
-// charge takes a request's tokens from its customer's limits. If this host's allotment does
-// not cover them, it borrows from the leader, and waits if they will be available soon.
+// charge takes a request's tokens from its customer's limits. If what this host has
+// borrowed does not cover them, it borrows more, and waits if they will be available soon.
 func (f *Forwarder) charge(ctx context.Context, r *Request) error {
 	if r.customer == nil {
 		return nil
@@ -48,8 +48,8 @@
 	return nil
 }
 
-// borrowAhead borrows tokens for requests to come, so that these need not wait for the
-// leader's reply.
+// borrowAhead borrows tokens for requests to come, so that these need not wait for a
+// control host's reply.
 func (f *Forwarder) borrowAhead(customer string, maxTokens float64) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
@@ -60,7 +60,7 @@
 	f.Bucket.RecordLoanAhead(customer, tokens)
 }
 
-// borrow asks the leader once, or waits until it may be asked again. It returns an error
+// borrow asks a control host once, or waits until it may be asked again. It returns an error
 // if the tokens cannot be available by waitUntil.
 func (f *Forwarder) borrow(ctx context.Context, r *Request, over *allocator.OverRateError, waitUntil time.Duration) error {
 	remaining := waitUntil - f.Timer.Now()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -40,8 +40,8 @@
 	// MaxConfirmationAge is the age of the configuration above which requests that need a key are
 	// refused.
 	MaxConfirmationAge time.Duration
-	// Borrow asks the leader for a loan of a customer's tokens: at least minTokens, maxTokens if it
-	// can. If the leader lends none, Borrow returns the time until the tokens would be available.
+	// Borrow asks a control host for a loan of a customer's tokens: at least minTokens, maxTokens if it
+	// can. If none are lent, Borrow returns the time until the tokens would be available.
 	Borrow func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
 	// EntryHosts returns the ready entry hosts of a region.
 	EntryHosts func(region string) []*schema.Peer
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -31,9 +30,6 @@
 	sweepInterval      = 5 * time.Second
 	// Time for which a control host is avoided after a failure, if there is another.
 	failedAvoidDuration = 2 * time.Second
-	// Number of customers up to which all of them are reported, also those without requests:
-	// with more, reports would grow with the number of customers.
-	maxExpectedCustomers = 64
 )
 
 // Refresher is an entry host's client of the control hosts. Set the exported fields and call
@@ -45,8 +41,7 @@
 	// SeedAddresses returns at least one address of a control host, in order of preference. They
 	// are tried after the addresses that a control host has sent.
 	SeedAddresses func() []string
-	// SelfReport returns this host's report; Refresher adds the report's number, the demands and
-	// the allotment in use.
+	// SelfReport returns this host's report; Refresher adds the report's number.
 	SelfReport  func() *schema.Peer
 	Distributor *distributor.Distributor
 	Table       *cataloger.Table
@@ -65,7 +60,7 @@
 	// confirmed as the newest; 0: never; guarded by mu
 	confirmedAt      time.Duration
 	controlAddresses []string // guarded by mu
-	leaderAddress    string   // guarded by mu
+	repliedAddress   string   // control host that replied last; guarded by mu
 
 	controlAddress string                   // control host in use, empty: none yet; only Run uses the fields below
 	cursor         uint64                   // position in the control host's table
@@ -169,7 +164,7 @@
 	r.reportNumber++
 	r.reportedReady = self.Ready
 	self.Number = r.reportNumber
-	self.Demands, self.Allotment = r.Bucket.Report(r.expectedCustomers())
+	r.Bucket.Report(nil) // updates the averages of demand, by which the Bucket borrows ahead
 	current := r.Distributor.Current()
 	request := &schema.RefreshRequest{Self: self, Version: current.Version, Hash: current.Hash, Cursor: r.cursor, Process: r.cursorProcess}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -177,19 +172,6 @@
 	return schema.NewClusterServiceClient(conn).Refresh(ctx, request)
 }
 
-// expectedCustomers returns the names of all customers, each of which may send requests at any
-// time, or nil if there are more than maxExpectedCustomers.
-func (r *Refresher) expectedCustomers() []string {
-	paths := r.Distributor.Current().Paths("customer")
-	if len(paths) > maxExpectedCustomers {
-		return nil
-	}
-	for i, p := range paths {
-		paths[i] = strings.TrimPrefix(p, "customer/")
-	}
-	return paths
-}
-
 // pickControl returns the first address in order of preference that has not failed within
 // failedAvoidDuration, else the one whose last failure is the longest ago.
 func (r *Refresher) pickControl() string {
@@ -260,7 +242,6 @@
 		}
 	}
 	r.cursor, r.cursorProcess = reply.Cursor, reply.Process
-	r.Bucket.ApplyAllotment(reply.Allotment, sentAt)
 	if r.OnLoads != nil {
 		r.OnLoads(reply.Loads, reply.Digests)
 	}
@@ -269,38 +250,67 @@
 	if len(reply.Controls) > 0 {
 		r.controlAddresses = reply.Controls
 	}
-	r.leaderAddress = reply.Leader
+	r.repliedAddress = r.controlAddress
 	if reply.Age >= 0 {
 		r.confirmedAt = max(r.confirmedAt, sentAt-time.Duration(reply.Age))
 	}
 	return nil
 }
 
-// ErrNoLeader says that no leader is known, that the call to it failed or that the host
-// called is not the leader.
-var ErrNoLeader = errors.New("refresher: no leader could be reached")
+// ErrNoLender says that no control host could decide on a loan.
+var ErrNoLender = errors.New("refresher: no control host could lend tokens")
+
+// firstLenderTimeout is the timeout of a request for a loan after which a second control host is
+// asked: a round trip between the control host and the leader in another region, and their
+// processing.
+const firstLenderTimeout = 350 * time.Millisecond
 
-// Borrow asks the leader for a loan from a customer's reserve: at least minTokens, at most
+// Borrow asks a control host for a loan of a customer's tokens: at least minTokens, at most
 // maxTokens. It returns the tokens lent; if the customer is over its rate, 0 and the time until
-// minTokens would be available. An error that wraps ErrNoLeader says that no leader answered.
+// minTokens would be available. An error that wraps ErrNoLender says that no control host could
+// decide. Tokens of a reply that is lost are lost to the customer.
 func (r *Refresher) Borrow(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
 	r.mu.Lock()
-	leader := r.leaderAddress
+	addresses := r.lenderAddresses()
 	r.mu.Unlock()
-	if leader == "" {
-		return 0, 0, ErrNoLeader
-	}
-	conn, err := r.Dialer.Conn(leader)
-	if err != nil {
-		return 0, 0, err
+	if len(addresses) == 0 {
+		return 0, 0, ErrNoLender
 	}
 	request := &schema.BorrowRequest{Customer: customer, Need: minTokens, Wish: maxTokens}
-	reply, err := schema.NewClusterServiceClient(conn).Borrow(ctx, request)
+	firstCtx, cancel := context.WithTimeout(ctx, firstLenderTimeout)
+	defer cancel()
+	reply, err := r.borrowFrom(firstCtx, addresses[0], request)
+	if err != nil && ctx.Err() == nil && len(addresses) > 1 {
+		reply, err = r.borrowFrom(ctx, addresses[1], request)
+	}
 	if err != nil {
-		return 0, 0, errors.Join(ErrNoLeader, err)
+		return 0, 0, errors.Join(ErrNoLender, err)
 	}
 	if !reply.Leader {
-		return 0, 0, ErrNoLeader
+		return 0, 0, ErrNoLender
 	}
 	return reply.Tokens, time.Duration(reply.Retry * float64(time.Second)), nil
 }
+
+// lenderAddresses returns the control host that replied last and the next in order of preference.
+// The caller holds mu.
+func (r *Refresher) lenderAddresses() []string {
+	var addresses []string
+	if r.repliedAddress != "" {
+		addresses = append(addresses, r.repliedAddress)
+	}
+	for _, address := range r.controlAddresses {
+		if address != r.repliedAddress {
+			return append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+func (r *Refresher) borrowFrom(ctx context.Context, address string, request *schema.BorrowRequest) (*schema.BorrowReply, error) {
+	conn, err := r.Dialer.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return schema.NewClusterServiceClient(conn).Borrow(ctx, request)
+}
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -28,6 +28,9 @@
 	FirstStart bool
 	// MaxLostDisks is the number of lost disks that the system must tolerate.
 	MaxLostDisks int
+	// SlackTokens is the number of tokens by which a customer may exceed its limits, over all
+	// hosts.
+	SlackTokens float64
 	// Listeners returns the HTTP listeners for operators and upstreams.
 	Listeners func(*controller.Cluster, *Control) []Listener
 
@@ -60,12 +63,14 @@
 	table := &cataloger.Table{Timer: clock, AnnounceInterval: c.AnnounceInterval}
 	table.Start()
 	s := c.Settings
+	limits := func(customer string) (allocator.Limits, bool) {
+		return LimitsOf(c.controller.Distributor.Current(), customer)
+	}
 	return &controller.Cluster{
 		Self:       &schema.Member{Name: s.Name, Address: s.Internal, Region: s.Region, Domain: s.Domain},
 		FirstStart: c.FirstStart, MinVoters: 2*c.MaxLostDisks + 1, SeedAddresses: c.Seeds, Table: table,
-		Allocator: &allocator.Allocator{Now: clock.Now, Limits: func(customer string) (allocator.Limits, bool) {
-			return LimitsOf(c.controller.Distributor.Current(), customer)
-		}},
+		Allocator: &allocator.Allocator{Now: clock.Now, Limits: limits},
+		Bucket:    &allocator.Bucket{Now: clock.Now, Limits: limits, SlackTokens: c.SlackTokens},
 	}
 }
 
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -53,9 +53,6 @@
 	// MaxConfirmationAge is the age of the configuration's last confirmation beyond which no
 	// key is accepted.
 	MaxConfirmationAge time.Duration
-	// SlackTokens is the number of tokens by which a customer may exceed its limits, over all
-	// hosts.
-	SlackTokens float64
 	// RetryBudget bounds retries at upstreams; Run sets its clock and its number of hosts.
 	RetryBudget forwarder.RetryBudget
 	// Listeners returns the HTTP listeners for callers.
@@ -88,7 +85,7 @@
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, IsMirror: true}
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
-	e.bucket = &allocator.Bucket{Now: e.Timer.Now, SlackTokens: e.SlackTokens, Limits: func(customer string) (allocator.Limits, bool) {
+	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
 	}}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, HostCount: e.readyHostCount}
