List every entry host for some callers

Change: in a region of more than 64 hosts callers get those of their own failure domain, which are the same whoever answers. If most hosts of the domain are lost, the other domains' are listed too.

--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -175,10 +175,10 @@
 	return !e.stopping.Load() && confirmed && age < maxReadyConfirmationAge && e.distributor.Current().DocumentNumber() > 0
 }
 
-// Resolve returns the addresses that callers of a region should use: its ready hosts; if there
-// are none, its hosts that are stopping but still serve; if there are none either, the ready
-// hosts of all regions.
-func (e *Entry) Resolve(region string) []string {
+// Resolve returns the addresses that callers of a region and failure domain should use, at most
+// MaxListedHosts: ready hosts of the region; if there are none, its hosts that are stopping but
+// still serve; if there are none either, ready hosts of all regions.
+func (e *Entry) Resolve(region, domain string) []string {
 	entryHosts := e.withOwnState(region, e.Table.ReadyHosts(region))
 	if len(entryHosts) == 0 {
 		entryHosts = e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin)
@@ -186,8 +186,12 @@
 	if len(entryHosts) == 0 {
 		entryHosts = e.withOwnState("", e.Table.ReadyHosts(""))
 	}
+	return addressesOf(listHosts(entryHosts, domain, e.Settings.Name))
+}
+
+func addressesOf(hosts []*schema.Peer) []string {
 	var all []string
-	for _, h := range entryHosts {
+	for _, h := range hosts {
 		all = append(all, h.Listen)
 	}
 	return all
@@ -199,7 +203,7 @@
 	name := e.Settings.Name
 	entryHosts = slices.DeleteFunc(entryHosts, func(p *schema.Peer) bool { return p.Name == name })
 	if e.Ready() && (region == "" || region == e.Settings.Region) {
-		entryHosts = append(entryHosts, &schema.Peer{Name: name, Listen: e.Settings.Listen})
+		entryHosts = append(entryHosts, &schema.Peer{Name: name, Domain: e.Settings.Domain, Listen: e.Settings.Listen})
 	}
 	return entryHosts
 }
