Keep a control host running while its disk refuses writes

Change: the host stays: it steps down, acknowledges nothing, says so in the log and in trefoil_control_storage_failed, and tries twice a second whether the disk accepts a file. Then it starts the replica from what is on disk, as after a restart. What was not synced is cut off first: after a failed sync the kernel may drop it, and nothing relied on it. What is read at a start is synced before it is relied on.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -31,6 +31,8 @@
 	entriesPerSnapshot = 5_000
 	// Time between two runs of reconcile.
 	reconcileInterval = 300 * time.Millisecond
+	// Time between two attempts to open the store again after it failed.
+	reopenInterval = 500 * time.Millisecond
 )
 
 // Errors of Propose.
@@ -77,7 +79,7 @@
 	ballot        *schema.Ballot
 	waiters       map[uint64]waiter // by index of the entry
 	lastRole      replicator.Role
-	halted        bool       // set by halt; the replica makes no further steps
+	halted        bool       // set by halt; the replica makes no further steps until it is started again
 	failure       chan error // receives the error that halted the replica
 }
 
@@ -95,6 +97,17 @@
 		return err
 	}
 	c.name = identity.Name
+	c.waiters = map[uint64]waiter{}
+	c.failure = make(chan error, 1)
+	c.metrics = newMetrics()
+	c.senders = senders{
+		dialer: c.Dialer, timer: c.Timer, dropped: c.metrics.messagesDropped, id: identity.Id, address: c.Settings.Internal,
+	}
+	return c.startReplica(identity, stored)
+}
+
+// startReplica starts the replica from what is on disk. The caller holds mu, or runs before Run.
+func (c *Controller) startReplica(identity *schema.Identity, stored replicator.StoredState) error {
 	state, err := configurer.Decode(stored.Snapshot.State)
 	if err != nil {
 		return err
@@ -102,9 +115,6 @@
 	c.state = state
 	c.appliedIndex, c.snapshotIndex = stored.Snapshot.Index, stored.Snapshot.Index
 	c.ballot = stored.HardState
-	c.waiters = map[uint64]waiter{}
-	c.failure = make(chan error, 1)
-	c.metrics = newMetrics()
 	c.replica = &replicator.Replica{
 		ID: identity.Id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		Random: rand.IntN, CaptureSnapshot: c.captureSnapshot,
@@ -112,14 +122,13 @@
 	c.replica.Start(stored)
 	c.tickedUntil = c.Timer.Now()
 	c.publishView()
-	c.senders = senders{
-		dialer: c.Dialer, timer: c.Timer, dropped: c.metrics.messagesDropped, id: identity.Id, address: c.Settings.Internal,
-	}
+	// The configuration that this process has in force may be newer than the snapshot; it stays.
 	return c.Distributor.Replace(state.Snapshot())
 }
 
-// Run runs the replica until ctx ends or halt is called, whose error it returns, and closes
-// the store. The caller serves the gRPC service.
+// Run runs the replica until ctx ends and closes the store. If the store fails, it starts the replica
+// again from what is on disk once that accepts writes; after any other error of halt it returns
+// that. The caller serves the gRPC service.
 func (c *Controller) Run(ctx context.Context) error {
 	defer c.senders.close()
 	stopTicks := c.Timer.Every(tickInterval, c.tick)
@@ -131,16 +140,56 @@
 		defer stop()
 		c.Cluster.start(background, c)
 	}
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-c.failure:
-	}
+	err := c.runUntilFailure(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return errors.Join(err, c.Store.Close())
 }
 
+// runUntilFailure returns nil when ctx ends, or the error that halted the replica for good.
+func (c *Controller) runUntilFailure(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-c.failure:
+			if !errors.Is(err, errStoreFailed) {
+				return err
+			}
+			c.Log.Error().Err(err).Msg("storage failed; this host neither votes nor leads until it works again")
+			c.metrics.storeFailed.Set(1)
+		}
+		for attempt := 1; ; attempt++ {
+			if err := c.Timer.Sleep(ctx, reopenInterval); err != nil {
+				return nil
+			}
+			err := c.restartReplica()
+			if err == nil {
+				c.Log.Info().Int("attempts", attempt).Msg("storage works again")
+				c.metrics.storeFailed.Set(0)
+				break
+			}
+			c.Log.Debug().Err(err).Int("attempts", attempt).Msg("storage still fails")
+		}
+	}
+}
+
+// restartReplica opens the store again and starts the replica from what is on disk, as after a
+// restart of the process: what was not synced is forgotten, and nothing relied on it.
+func (c *Controller) restartReplica() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	identity, stored, err := c.Store.Reopen()
+	if err != nil {
+		return err
+	}
+	if err := c.startReplica(identity, stored); err != nil {
+		return err
+	}
+	c.halted = false
+	return nil
+}
+
 func (c *Controller) tick() {
 	c.step(func(*replicator.Replica) {})
 }
@@ -149,6 +198,9 @@
 func (c *Controller) step(f func(*replicator.Replica)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.halted {
+		return
+	}
 	c.advanceClock()
 	f(c.replica)
 	c.processOutput()
@@ -201,9 +253,9 @@
 		if err := c.installSnapshot(o); err != nil {
 			return err
 		}
-		return c.Store.SaveSnapshot(o.Snapshot, c.ballot, o.Entries)
+		return storeError(c.Store.SaveSnapshot(o.Snapshot, c.ballot, o.Entries))
 	}
-	return c.Store.Save(o.HardState, o.Entries)
+	return storeError(c.Store.Save(o.HardState, o.Entries))
 }
 
 // installSnapshot replaces the configuration with a snapshot received from the leader.
@@ -256,14 +308,27 @@
 	}
 }
 
-// halt stops the replica for good and reports err to Run: after a failed sync it must not
-// send anything that other replicas rely on. The caller holds mu.
+// errStoreFailed means that the store could not write or sync.
+var errStoreFailed = errors.New("the store failed")
+
+func storeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", errStoreFailed, err)
+}
+
+// halt stops the replica and reports err to Run: after a failed sync it must not send anything
+// that other replicas rely on. The caller holds mu.
 func (c *Controller) halt(err error) {
 	if c.halted {
 		return
 	}
 	c.halted = true
 	c.dropWaiters()
+	v := *c.view.Load()
+	v.role, v.leaseUntil, v.leaderID, v.leaderResponds = replicator.Follower, 0, 0, false
+	c.view.Store(&v)
 	c.failure <- fmt.Errorf("controller: %w", err)
 }
 
@@ -318,7 +383,7 @@
 	}
 	c.replica.Compact(s.Index)
 	if err := c.Store.SaveSnapshot(s, c.ballot, c.replica.EntriesAfterSnapshot()); err != nil {
-		return err
+		return storeError(err)
 	}
 	c.snapshotIndex = s.Index
 	return nil
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -8,6 +8,7 @@
 	snapshotsInstalled prometheus.Counter
 	messagesDropped    prometheus.Counter
 	isLeader           prometheus.Gauge
+	storeFailed        prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -16,10 +17,11 @@
 		snapshotsInstalled: prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_control_snapshots_installed_total", Help: "Snapshots installed from a leader."}),
 		messagesDropped:    prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_control_messages_dropped_total", Help: "Messages to other replicas that were dropped."}),
 		isLeader:           prometheus.NewGauge(prometheus.GaugeOpts{Name: "trefoil_control_leader", Help: "1 on the leader."}),
+		storeFailed:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "trefoil_control_storage_failed", Help: "1 while the disk accepts no writes."}),
 	}
 }
 
 // Collectors returns the metrics for a registry. It must be called after Open.
 func (c *Controller) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{c.metrics.entriesApplied, c.metrics.snapshotsInstalled, c.metrics.messagesDropped, c.metrics.isLeader}
+	return []prometheus.Collector{c.metrics.entriesApplied, c.metrics.snapshotsInstalled, c.metrics.messagesDropped, c.metrics.isLeader, c.metrics.storeFailed}
 }
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -44,7 +44,9 @@
 	file         *os.File
 	newestNumber uint64 // of the segment that file has open
 	segmentSize  int64
-	brokenErr    error
+	// syncedSize is the size of the newest segment up to the end of the last synced frame.
+	syncedSize int64
+	brokenErr  error
 }
 
 // Open calls replay with each record in order, then makes the journal ready to append. The
@@ -155,7 +157,7 @@
 			return j.markBroken(errors.Join(err, f.Close()))
 		}
 	}
-	j.file, j.newestNumber, j.segmentSize = f, number, 0
+	j.file, j.newestNumber, j.segmentSize, j.syncedSize = f, number, 0, 0
 	return nil
 }
 
@@ -164,11 +166,12 @@
 	if err != nil {
 		return j.markBroken(err)
 	}
+	// What was just read may still be unsynced, if an earlier process ended before its sync.
 	info, err := f.Stat()
-	if err != nil {
+	if err = errors.Join(err, f.Sync()); err != nil {
 		return j.markBroken(errors.Join(err, f.Close()))
 	}
-	j.file, j.segmentSize = f, info.Size()
+	j.file, j.segmentSize, j.syncedSize = f, info.Size(), info.Size()
 	return nil
 }
 
@@ -197,6 +200,19 @@
 	if err := j.file.Sync(); err != nil {
 		return j.markBroken(err)
 	}
+	j.syncedSize = j.segmentSize
+	return nil
+}
+
+// DropUnsynced removes what a failed append left in the newest segment, so that a later Open does not
+// take it for synced. After an error it may be called again.
+func (j *Journal) DropUnsynced() error {
+	if j.file == nil {
+		return nil
+	}
+	if err := errors.Join(j.file.Truncate(j.syncedSize), j.file.Sync()); err != nil {
+		return fmt.Errorf("journaler: remove unsynced records: %w", err)
+	}
 	return nil
 }
 
@@ -238,7 +254,9 @@
 	if j.file == nil {
 		return nil
 	}
-	return j.file.Close()
+	err := j.file.Close()
+	j.file = nil
+	return err
 }
 
 func (j *Journal) markBroken(err error) error {
@@ -267,7 +285,7 @@
 	}
 	_, err = f.Write(appendFrame(nil, content))
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
+		return errors.Join(err, os.Remove(tmp))
 	}
 	if err := os.Rename(tmp, path); err != nil {
 		return err
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -147,6 +147,46 @@
 	}
 }
 
+// TestDropUnsynced guards against records that were written but not synced and are read back after
+// the disk works again: nothing relied on them, and the kernel may not write them any more.
+func TestDropUnsynced(t *testing.T) {
+	errDisk := errors.New("input/output error")
+	for _, step := range []string{"journal.write", "journal.sync"} {
+		failing := false
+		folder := t.TempDir()
+		j := &Journal{Folder: folder, FaultPoints: &injector.FaultPoints{Visit: func(s string) error {
+			if s == step && failing {
+				return errDisk
+			}
+			return nil
+		}}}
+		if err := j.Open(nil); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Append([]byte("kept")); err != nil {
+			t.Fatal(err)
+		}
+		failing = true
+		if err := j.Append([]byte("unsynced")); !errors.Is(err, errDisk) {
+			t.Fatalf("%s: append with a failing disk: %v", step, err)
+		}
+		if err := errors.Join(j.DropUnsynced(), j.Close()); err != nil {
+			t.Fatal(err)
+		}
+		var records []string
+		again := &Journal{Folder: folder}
+		if err := again.Open(func(_ uint64, record []byte) error { records = append(records, string(record)); return nil }); err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(again.Append([]byte("later")), again.Close()); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"kept"}, records); diff != "" {
+			t.Errorf("%s: -want +got\n%s", step, diff)
+		}
+	}
+}
+
 // TestLock requires that a folder can be locked only once at a time.
 func TestLock(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/persister/store.go
+++ b/internal/persister/store.go
@@ -101,11 +101,11 @@
 	s.unlock = unlock
 	identity, err := s.readIdentity()
 	if err != nil {
-		return nil, noState, errors.Join(err, unlock())
+		return nil, noState, errors.Join(err, s.Close())
 	}
 	stored, err := s.readState(identity)
 	if err != nil {
-		return nil, noState, errors.Join(err, unlock())
+		return nil, noState, errors.Join(err, s.Close())
 	}
 	return identity, stored, nil
 }
@@ -234,7 +234,41 @@
 	return s.journal.DropBefore(segment)
 }
 
-// Close closes the journal and unlocks the folder.
+// probeBytes is the size of the file that Reopen writes to see whether the disk accepts writes.
+const probeBytes = 64 << 10
+
+// Reopen opens the store again after a write or sync failed, without what was not synced. It fails
+// while the disk does not accept writes, and may then be called again.
+func (s *Store) Reopen() (*schema.Identity, replicator.StoredState, error) {
+	if err := s.probe(); err != nil {
+		return nil, replicator.StoredState{}, err
+	}
+	if err := s.journal.DropUnsynced(); err != nil {
+		return nil, replicator.StoredState{}, err
+	}
+	if err := s.Close(); err != nil {
+		return nil, replicator.StoredState{}, err
+	}
+	return s.Open()
+}
+
+func (s *Store) probe() error {
+	if err := s.FaultPoints.Hit("store.probe"); err != nil {
+		return err
+	}
+	path := filepath.Join(s.Folder, "probe")
+	if err := journaler.WriteFile(path, make([]byte, probeBytes)); err != nil {
+		return fmt.Errorf("persister: write a probe file: %w", err)
+	}
+	return os.Remove(path)
+}
+
+// Close closes the journal and unlocks the folder. Further calls do nothing.
 func (s *Store) Close() error {
-	return errors.Join(s.journal.Close(), s.unlock())
+	err := s.journal.Close()
+	if s.unlock != nil {
+		err = errors.Join(err, s.unlock())
+		s.unlock = nil
+	}
+	return err
 }
