Let requests that have arrived end in a planned stop

Cause: at the end of a planned stop the listeners were closed together with every connection, so that requests just read, not yet counted as in flight, were cut off; a control host did so at once, with commands in progress. Change: listeners close first; connections with a request have 0.3 s (control hosts: 1 s, before the controller stops) to get its response, relays as well. What is cut off is logged.

--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -85,15 +85,27 @@
 	}
 	schema.RegisterControlServiceServer(grpcServer, &controller.Service{Controller: c.controller})
 	schema.RegisterClusterServiceServer(grpcServer, &controller.ClusterService{Cluster: cluster})
-	ctx, cancel := context.WithCancel(ctx)
+	servers, err := listenAll(c.Listeners(cluster, c), c.Log)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	componentsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g run.Group
-	g.Add(func() error { return clock.Run(ctx) }, func(error) { cancel() })
-	g.Add(func() error { return c.controller.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return clock.Run(componentsCtx) }, func(error) { cancel() })
+	g.Add(func() error { return c.controller.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
-	for _, listener := range c.Listeners(cluster, c) {
-		g.Add(func() error { return serveHTTP(ctx, listener, c.Log) }, func(error) { cancel() })
+	for _, h := range servers {
+		g.Add(h.serve, func(error) { cancel(); _ = h.server.Close() })
 	}
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-componentsCtx.Done():
+		}
+		shutdownAll(servers, controlShutdownTimeout, c.Log) // before the controller stops, so that commands in progress get their result
+		return nil
+	}, func(error) { cancel() })
 	c.Log.Info().Bool("first", c.FirstStart).Str("internal", c.Settings.Internal).Msg("control host started")
 	err = g.Run()
 	c.Log.Info().Err(err).Msg("control host stopped")
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -119,16 +120,27 @@
 		return errors.Join(err, l.Close())
 	}
 	schema.RegisterRelayServiceServer(grpcServer, &forwarder.RelayService{Forwarder: e.Forwarder})
+	servers, err := listenAll(e.Listeners(e), e.Log)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
 	componentsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return e.Timer.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return e.refresher.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
-	for _, listener := range e.Listeners(e) {
-		g.Add(func() error { return serveHTTP(componentsCtx, listener, e.Log) }, func(error) { cancel() })
+	for _, h := range servers {
+		g.Add(h.serve, func(error) { cancel(); _ = h.server.Close() })
 	}
-	g.Add(func() error { return e.waitForStop(ctx, componentsCtx) }, func(error) { cancel() })
+	g.Add(func() error {
+		err := e.waitForStop(ctx, componentsCtx)
+		var wg sync.WaitGroup
+		wg.Go(func() { stopGRPC(grpcServer, e.Timer) })
+		shutdownAll(servers, shutdownTimeout, e.Log)
+		wg.Wait()
+		return err
+	}, func(error) { cancel() })
 	stopDispatch := e.Timer.Every(dispatchInterval, e.scheduler.DispatchAll)
 	defer stopDispatch()
 	stopPrune := e.Timer.Every(connectionPruneInterval, e.pruneConnections)
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,8 +18,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"google.golang.org/grpc"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -87,25 +90,78 @@
 	IDHeader string
 }
 
-// serveHTTP serves until ctx ends, then closes the listener and all open connections. Whoever
-// ends ctx decides when open connections may be closed.
-func serveHTTP(ctx context.Context, l Listener, log zerolog.Logger) error {
-	ln, err := net.Listen("tcp", l.Address)
-	if err != nil {
-		return fmt.Errorf("starter: %s listener: %w", l.Name, err)
-	}
-	log = log.With().Str("listener", l.Name).Logger()
-	s := &http.Server{
-		Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(log, "", 0),
+const (
+	// Time that callers' requests and relays which have arrived have to end when the process stops.
+	// It fits in graceMargin.
+	shutdownTimeout = 300 * time.Millisecond
+	// The same for operators' commands, which take up to 0.9 s.
+	controlShutdownTimeout = time.Second
+)
+
+// httpServer serves one Listener.
+type httpServer struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+// listenAll opens all listeners, or none if one fails.
+func listenAll(listeners []Listener, log zerolog.Logger) ([]*httpServer, error) {
+	var all []*httpServer
+	for _, l := range listeners {
+		ln, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			closeAll(all)
+			return nil, fmt.Errorf("starter: %s listener: %w", l.Name, err)
+		}
+		log := log.With().Str("listener", l.Name).Logger()
+		all = append(all, &httpServer{name: l.Name, listener: ln, server: &http.Server{
+			Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: stdlog.New(log, "", 0),
+		}})
 	}
-	context.AfterFunc(ctx, func() { _ = s.Close() })
-	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("starter: serving %s: %w", l.Name, err)
+	return all, nil
+}
+
+// serve serves until the server is closed.
+func (h *httpServer) serve() error {
+	if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("starter: serving %s: %w", h.name, err)
 	}
 	return nil
 }
 
+// shutdownAll closes the listeners and then the connections: idle ones at once, the others when
+// their request has its response, or after timeout.
+func shutdownAll(all []*httpServer, timeout time.Duration, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, h := range all {
+		wg.Go(func() {
+			if err := h.server.Shutdown(ctx); err != nil {
+				log.Warn().Err(err).Str("listener", h.name).Msg("requests cut off at the end of the process")
+			}
+		})
+	}
+	wg.Wait()
+	closeAll(all)
+}
+
+func closeAll(all []*httpServer) {
+	for _, h := range all {
+		_ = h.server.Close()
+		_ = h.listener.Close()
+	}
+}
+
+// stopGRPC stops a gRPC server: calls that have arrived have shutdownTimeout to end.
+func stopGRPC(s *grpc.Server, clock *timer.Service) {
+	cancel := clock.Once(shutdownTimeout, s.Stop)
+	defer cancel()
+	s.GracefulStop()
+}
+
 // recoverRequests returns a handler that logs a panic of l.Handler with the request's ID and closes
 // the connection of that request, whose caller must not take the response for a whole one.
 func recoverRequests(l Listener, log zerolog.Logger) http.Handler {
--- a/internal/starter/recover_test.go
+++ b/internal/starter/recover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -21,31 +20,25 @@
 			panic("broken")
 		}
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	servers, err := listenAll([]Listener{{Name: "front", Address: "127.0.0.1:0", Handler: h, IDHeader: "Id"}}, zerolog.New(&log))
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	_ = l.Close()
-	ctx, cancel := context.WithCancel(context.Background())
+	address := servers[0].listener.Addr().String()
 	done := make(chan error, 1)
-	go func() {
-		done <- serveHTTP(ctx, Listener{Name: "front", Address: address, Handler: h, IDHeader: "Id"}, zerolog.New(&log))
-	}()
+	go func() { done <- servers[0].serve() }()
 	status := func(path string) int {
-		for {
-			c, err := net.Dial("tcp", address)
-			if err != nil {
-				continue // not listening yet
-			}
-			defer func() { _ = c.Close() }()
-			_, _ = c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: r-7\r\n\r\n"))
-			response, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				return 0
-			}
-			return response.StatusCode
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
 		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: h\r\nId: r-7\r\n\r\n"))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
 	}
 	if got := status("/bad"); got != 0 {
 		t.Errorf("request whose handler panics: status %d", got)
@@ -53,7 +46,7 @@
 	if got := status("/good"); got != http.StatusOK {
 		t.Errorf("next request: status %d", got)
 	}
-	cancel()
+	shutdownAll(servers, shutdownTimeout, zerolog.Nop())
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
