--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -195,3 +195,41 @@
 		t.Errorf("changes for entry hosts: %v, want one host that is not ready", changed)
 	}
 }
+
+// TestRestartDoesNotBringBackUpstreams guards against an upstream that has left and is in use again
+// after a control host's restart. A report from before it left arrives late, at the restarted host
+// first; neither that host, once it has the leader's table, nor the leader, nor an entry host may
+// list it.
+func TestRestartDoesNotBringBackUpstreams(t *testing.T) {
+	for _, last := range []*schema.Announcement{
+		{Name: "u", Incarnation: 10, Number: 5, Gone: true, Leaving: true},
+		{Name: "u", Incarnation: 10, Number: 5, Address: "a:1", Pool: "p", Region: "r", Domain: "d", Slots: 4, Leaving: true},
+	} {
+		leader, restarted, entry := newTable(t), newTable(t), newTable(t)
+		entry.IsMirror = true
+		leader.StoreUpstream(newReport("u", 10, 1, "a:1"), false)
+		leader.StoreUpstream(last, false)
+		toEntry := leader.ChangesSince(0, 0, "r")
+		for _, a := range toEntry.Upstreams {
+			entry.StoreUpstream(a, false)
+		}
+		restarted.StoreUpstream(newReport("u", 10, 4, "a:1"), true) // late
+		for _, a := range restarted.ChangesSince(0, 0, "r").Upstreams {
+			entry.StoreUpstream(a, false)
+		}
+		reports, _ := restarted.ReportsToForward()
+		for _, a := range reports {
+			leader.StoreUpstream(a, false)
+		}
+		for _, a := range leader.ChangesSince(0, 0, "").Upstreams {
+			restarted.StoreUpstream(a, false)
+		}
+		for name, x := range map[string]*Table{"leader": leader, "restarted host": restarted, "entry host": entry} {
+			for _, a := range x.Upstreams() {
+				if !a.Leaving {
+					t.Errorf("last report %v: the %s lists the upstream as ready", last, name)
+				}
+			}
+		}
+	}
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -39,8 +39,10 @@
 	return out, nil
 }
 
-func (testProtocol) Classify(_ Attempt, h *http.Response) Verdict {
-	switch {
+func (testProtocol) Classify(a Attempt, h *http.Response) Verdict {
+	switch id := h.Header.Get("Id"); {
+	case id != "" && id != a.Request.ID:
+		return Invalid
 	case h.Header.Get("Not-Run") != "":
 		return NotRun
 	case h.StatusCode >= 500:
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -96,3 +97,28 @@
 		t.Errorf("head lost: got %+v, %v", sink.result, err)
 	}
 }
+
+// FuzzRelayedRequest guards against a relayed request that ends the process: whatever it holds, it
+// is decoded, and run or refused.
+func FuzzRelayedRequest(f *testing.F) {
+	whole, err := proto.Marshal(&schema.RelayRequest{Id: "1", Route: "h", Method: "POST", Path: "/safe/x", Pool: "p", Left: 2, Parts: []*schema.PromptPart{{Id: "a", Tokens: 5}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add([]byte{})
+	c := configurer.FromMessage(&schema.Snapshot{Version: 1, Items: routes()})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := &schema.RelayRequest{}
+		if proto.Unmarshal(b, m) != nil {
+			return
+		}
+		forwarder := &Forwarder{Region: "r", Timer: &timer.Service{}}
+		forwarder.Configure(c)
+		r, err := forwarder.requestOf(m)
+		if err == nil && (r.route == nil || r.pool != "p") {
+			t.Errorf("%v accepted for route %v, pool %q", m, r.route, r.pool)
+		}
+	})
+}
