Close replaced connections, and spread entry hosts over their region's control hosts

Cause: a connection on which a call exceeded its deadline was replaced and stayed open for ten minutes. Entry hosts of a failure domain reported to its one or two control hosts, so those of one had twice the load, and all of it moved to one other host. Change: a replaced connection is closed when its last call ends, and one on which other calls get their replies is not replaced. Entry hosts choose among the control hosts of their region by hash.

--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -80,17 +80,15 @@
 	return n
 }
 
-// nearestAddresses returns the members' addresses: those in the entry host's failure domain
-// first, then those in its region. A hash spreads hosts over members that are equally near.
+// nearestAddresses returns the members' addresses: those in the entry host's region first. A hash
+// spreads the hosts of a region evenly over its members, and those of a lost member over the others;
+// by failure domain they would be uneven, as domains differ in their members.
 func (v *view) nearestAddresses(host *schema.Peer) []string {
 	distance := func(m *schema.Member) int {
-		switch {
-		case m.Domain == host.Domain:
+		if m.Region == host.Region {
 			return 0
-		case m.Region == host.Region:
-			return 1
 		}
-		return 2
+		return 1
 	}
 	members := slices.Clone(v.members.Members)
 	hash := func(m *schema.Member) uint64 { return xxhash.Sum64String(m.Address + host.Name) }
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -32,10 +32,8 @@
 	secretHeader    = "trefoil-secret"
 	pingInterval    = 10 * time.Second
 	pingTimeout     = 2 * time.Second
-	// Time for which a replaced connection stays open for the calls still running on it.
-	replacedCloseDelay = 10 * time.Minute
-	minRedialDelay     = 50 * time.Millisecond
-	maxRedialDelay     = time.Second
+	minRedialDelay  = 50 * time.Millisecond
+	maxRedialDelay  = time.Second
 )
 
 // ErrWrongSecret is returned to a client of the internal listener that did not send the
@@ -50,7 +48,16 @@
 	Timer     *timer.Service
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // guarded by mu
+	conns map[string]*grpc.ClientConn     // by address; guarded by mu
+	uses  map[*grpc.ClientConn]*connState // of the connections in conns and the replaced ones; guarded by mu
+}
+
+// connState is the use of one connection.
+type connState struct {
+	calls    int  // running on it
+	replaced bool // closed when its last call ends
+	// replies counts the calls that ended with a reply.
+	replies uint64
 }
 
 // Conn returns the connection to an address and creates it on first use. An error means that
@@ -82,13 +89,16 @@
 	}
 	if d.conns == nil {
 		d.conns = map[string]*grpc.ClientConn{}
+		d.uses = map[*grpc.ClientConn]*connState{}
 	}
 	d.conns[address] = c
+	d.uses[c] = &connState{}
 	return c, nil
 }
 
 // Replace makes later calls to an address use a new connection instead of c, which is
-// unresponsive. It does nothing if c is not the current connection to the address.
+// unresponsive; c is closed when no call runs on it any more. It does nothing if c is not the
+// current connection to the address.
 func (d *Dialer) Replace(address string, c *grpc.ClientConn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,7 +106,50 @@
 		return
 	}
 	delete(d.conns, address)
-	d.Timer.Once(replacedCloseDelay, func() { _ = c.Close() })
+	d.uses[c].replaced = true
+	d.closeUnused(c)
+}
+
+// closeUnused closes a replaced connection on which no call runs. The caller holds mu.
+func (d *Dialer) closeUnused(c *grpc.ClientConn) {
+	if u := d.uses[c]; u.replaced && u.calls == 0 {
+		delete(d.uses, c)
+		_ = c.Close()
+	}
+}
+
+// beginCall counts a call on a connection until the returned option is called by grpc.
+func (d *Dialer) beginCall(c *grpc.ClientConn) grpc.CallOption {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if u := d.uses[c]; u != nil {
+		u.calls++
+	}
+	return grpc.OnFinish(func(err error) { d.endCall(c, err) })
+}
+
+func (d *Dialer) endCall(c *grpc.ClientConn, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.uses[c]
+	if u == nil {
+		return // the Dialer was closed
+	}
+	u.calls--
+	if err == nil {
+		u.replies++
+	}
+	d.closeUnused(c)
+}
+
+// replies returns the number of calls on a connection that ended with a reply.
+func (d *Dialer) replies(c *grpc.ClientConn) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if u := d.uses[c]; u != nil {
+		return u.replies
+	}
+	return 0
 }
 
 // EntryClient returns a client for the entry host at an internal address.
@@ -121,20 +174,23 @@
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, c := range d.conns {
+	for c := range d.uses {
 		_ = c.Close()
 	}
-	d.conns = nil
+	d.conns, d.uses = nil, nil
 }
 
 func (d *Dialer) withSecret(ctx context.Context) context.Context {
 	return metadata.AppendToOutgoingContext(ctx, secretHeader, d.Secret)
 }
 
+// interceptUnary replaces a connection on which a call exceeds its deadline, unless another call on it
+// got its reply meanwhile: then the server is only slow.
 func (d *Dialer) interceptUnary(address string) grpc.UnaryClientInterceptor {
 	return func(ctx context.Context, method string, req, reply any, c *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
-		err := invoke(d.withSecret(ctx), method, req, reply, c, opts...)
-		if status.Code(err) == codes.DeadlineExceeded {
+		repliesBefore := d.replies(c)
+		err := invoke(d.withSecret(ctx), method, req, reply, c, append(opts, d.beginCall(c))...)
+		if status.Code(err) == codes.DeadlineExceeded && d.replies(c) == repliesBefore {
 			d.Replace(address, c)
 		}
 		return err
@@ -142,7 +198,7 @@
 }
 
 func (d *Dialer) interceptStream(ctx context.Context, desc *grpc.StreamDesc, c *grpc.ClientConn, method string, stream grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
-	return stream(d.withSecret(ctx), desc, c, method, opts...)
+	return stream(d.withSecret(ctx), desc, c, method, append(opts, d.beginCall(c))...)
 }
 
 // NewServer returns a gRPC server for the internal listener. It requires client certificates
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +142,107 @@
 		t.Errorf("%d log lines for 4 panics:\n%s", got, log.String())
 	}
 }
+
+// hangingServer never answers Donate, and answers Grant.
+type hangingServer struct {
+	schema.UnimplementedEntryServiceServer
+}
+
+func (hangingServer) Donate(ctx context.Context, _ *schema.DonateRequest) (*schema.DonateReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (hangingServer) Grant(context.Context, *schema.GrantRequest) (*schema.GrantReply, error) {
+	return &schema.GrantReply{}, nil
+}
+
+// openConnListener counts the connections that are open.
+type openConnListener struct {
+	net.Listener
+	open *atomic.Int64
+}
+
+func (l openConnListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &openConn{Conn: c, open: l.open}, nil
+}
+
+type openConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *openConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// TestReplacedConnectionsAreClosed guards against a server that runs out of descriptors because
+// each call that exceeds its deadline leaves a connection open: replaced connections are closed, and
+// those of a server that answers other calls are not replaced.
+func TestReplacedConnectionsAreClosed(t *testing.T) {
+	for _, answersOthers := range []bool{false, true} {
+		s, err := NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		schema.RegisterEntryServiceServer(s, hangingServer{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var open atomic.Int64
+		go func() { _ = s.Serve(openConnListener{l, &open}) }()
+		d := &Dialer{Secret: "secret", Timer: &timer.Service{}}
+		used := map[*grpc.ClientConn]bool{}
+		for range 10 {
+			conn, err := d.Conn(l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			used[conn] = true
+			client := schema.NewEntryServiceClient(conn)
+			if _, err := client.Grant(t.Context(), &schema.GrantRequest{}); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			hung := make(chan error, 1)
+			go func() {
+				_, err := client.Donate(ctx, &schema.DonateRequest{})
+				hung <- err
+			}()
+			for answersOthers && ctx.Err() == nil {
+				if _, err := client.Grant(t.Context(), &schema.GrantRequest{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := <-hung; status.Code(err) != codes.DeadlineExceeded {
+				t.Errorf("call to a server that hangs: %v", err)
+			}
+			cancel()
+		}
+		if answersOthers && len(used) != 1 {
+			t.Errorf("%d connections used to a server that answers other calls, want one", len(used))
+		}
+		if !answersOthers && len(used) < 5 {
+			t.Errorf("%d connections used to a server that answers nothing, want a new one for each call", len(used))
+		}
+		for range 200 {
+			if open.Load() <= 1 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := open.Load(); n > 1 {
+			t.Errorf("answers others %v: %d connections open after 10 calls, want at most 1", answersOthers, n)
+		}
+		d.Close()
+		s.Stop()
+	}
+}
