Do not replace a connection that is still being established

It takes 320 ms to connect to a leader 80 ms away; a loan was given up after 350 ms, and a call that exceeds its deadline replaced the connection, before any call on the new one could end. Ruled out: a lost leader (no election in the log), the load of the leader (other hosts got their loans meanwhile). Change: a connection without a reply is replaced after a second at the earliest. A request of a control host to the leader has 0.8 s, whatever the time limit of the loan that caused it: its tokens are there for the next. Result: TestConnectingIsNotReplaced.

--- a/internal/allocator/lender.go
+++ b/internal/allocator/lender.go
@@ -13,6 +13,8 @@
 	lenderAheadFraction = 0.25
 	// Minimum interval between two requests to the leader for one borrower's request.
 	minDrawInterval = 20 * time.Millisecond
+	// Timeout of a request to the leader: a round trip to another region and one retransmission.
+	drawTimeout = 800 * time.Millisecond
 )
 
 // Lender lends tokens of customers to the entry hosts that report to this control host, out of
@@ -22,6 +24,8 @@
 	// Draw requests tokens for the Bucket from the leader's reserve: at least minTokens, maxTokens
 	// if it can. If the leader lends none, it returns the time until minTokens would be available.
 	Draw func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
+	// Background runs a function that requests tokens ahead of need. Nil: in a goroutine.
+	Background func(func())
 }
 
 // Lend lends at least minTokens of a customer's tokens, at most maxTokens. With minTokens 0 the
@@ -44,11 +48,19 @@
 	}
 	tokens = minTokens + l.Bucket.takeAhead(customer, maxTokens-minTokens, minTokens == 0)
 	if wanted := l.Bucket.BeginBorrowAhead(customer, math.Max(minTokens, initialSize)); wanted > 0 {
-		go l.drawAhead(context.WithoutCancel(ctx), customer, wanted)
+		l.background(func() { l.drawAhead(context.WithoutCancel(ctx), customer, wanted) })
 	}
 	return tokens, 0, nil
 }
 
+func (l *Lender) background(f func()) {
+	if l.Background != nil {
+		l.Background(f)
+		return
+	}
+	go f()
+}
+
 // take takes tokens from the Bucket, and from the leader those that it lacks. A retry above 0 means
 // that it took none, and that the tokens may be available after that time.
 func (l *Lender) take(ctx context.Context, customer string, tokens float64) (retry time.Duration, err error) {
@@ -60,7 +72,10 @@
 	if over.RetryAfter > 0 {
 		return over.RetryAfter, nil
 	}
-	lent, retry, err := l.Draw(ctx, customer, over.MissingTokens, over.MissingTokens+over.DemandRate*BorrowAheadDuration.Seconds())
+	// The tokens of a reply that comes after the borrower has given up are for the next one.
+	drawCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
+	defer cancel()
+	lent, retry, err := l.Draw(drawCtx, customer, over.MissingTokens, over.MissingTokens+over.DemandRate*BorrowAheadDuration.Seconds())
 	if err != nil {
 		return 0, err
 	}
@@ -83,10 +98,6 @@
 	l.Bucket.RecordLoanAhead(customer, tokens)
 }
 
-// drawTimeout is the timeout of a request to the leader ahead of need: a round trip to another
-// region and one retransmission.
-const drawTimeout = 800 * time.Millisecond
-
 // takeAhead takes up to maxTokens that are to be lent for requests to come: at most half of the
 // level, and lenderAheadFraction of the burst in loanDuration. A loan that stands alone is not worth
 // its call if it is smaller than half of maxTokens.
--- a/internal/allocator/lender_test.go
+++ b/internal/allocator/lender_test.go
@@ -44,7 +44,7 @@
 	x.elect()
 	for range controls {
 		c := &control{bucket: &Bucket{Now: clock, Limits: limitsOf, SlackTokens: slack}}
-		c.lender = &Lender{Bucket: c.bucket, Draw: func(_ context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
+		c.lender = &Lender{Bucket: c.bucket, Background: func(f func()) { f() }, Draw: func(_ context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
 			if c.cutOff {
 				return 0, 0, errLost
 			}
@@ -80,8 +80,7 @@
 	}
 }
 
-// take charges tokens at an entry host, which borrows those that it lacks. Draws ahead of need are
-// made by the test as the Lender makes them, but in step with the clock.
+// take charges tokens at an entry host, which borrows those that it lacks.
 func (x *tree) take(entry int, tokens float64) bool {
 	b, c := x.entries[entry], x.controls[x.lenderOf[entry]]
 	_, err := b.Take("c", tokens)
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -34,6 +34,9 @@
 	pingTimeout     = 2 * time.Second
 	minRedialDelay  = 50 * time.Millisecond
 	maxRedialDelay  = time.Second
+	// Time for which a connection without a reply is not replaced: it takes two round trips to
+	// another region to be established, and may not be younger than the calls that wait for it.
+	minConnectionAge = time.Second
 )
 
 // ErrWrongSecret is returned to a client of the internal listener that did not send the
@@ -58,6 +61,8 @@
 	replaced bool // closed when its last call ends
 	// replies counts the calls that ended with a reply.
 	replies uint64
+	// createdAt is the time on Timer's clock at which the connection was created.
+	createdAt time.Duration
 }
 
 // Conn returns the connection to an address and creates it on first use. An error means that
@@ -92,7 +97,7 @@
 		d.uses = map[*grpc.ClientConn]*connState{}
 	}
 	d.conns[address] = c
-	d.uses[c] = &connState{}
+	d.uses[c] = &connState{createdAt: d.Timer.Now()}
 	return c, nil
 }
 
@@ -152,6 +157,16 @@
 	return 0
 }
 
+// unresponsive reports whether a connection, on which a call just exceeded its deadline, had no reply
+// since there were repliesBefore of them. A connection that may still be being established is not
+// unresponsive.
+func (d *Dialer) unresponsive(c *grpc.ClientConn, repliesBefore uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.uses[c]
+	return u != nil && u.replies == repliesBefore && (u.replies > 0 || d.Timer.Now()-u.createdAt >= minConnectionAge)
+}
+
 // EntryClient returns a client for the entry host at an internal address.
 func (d *Dialer) EntryClient(address string) (schema.EntryServiceClient, error) {
 	c, err := d.Conn(address)
@@ -190,7 +205,7 @@
 	return func(ctx context.Context, method string, req, reply any, c *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 		repliesBefore := d.replies(c)
 		err := invoke(d.withSecret(ctx), method, req, reply, c, append(opts, d.beginCall(c))...)
-		if status.Code(err) == codes.DeadlineExceeded && d.replies(c) == repliesBefore {
+		if status.Code(err) == codes.DeadlineExceeded && d.unresponsive(c, repliesBefore) {
 			d.Replace(address, c)
 		}
 		return err
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -246,3 +246,39 @@
 		s.Stop()
 	}
 }
+
+// TestConnectingIsNotReplaced guards against a connection that is replaced before it can be
+// established: calls whose timeout is shorter than that would replace each new one, for ever.
+func TestConnectingIsNotReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection: the handshake never ends
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	clock := &timer.Service{Clock: &timer.ManualClock{}}
+	d := &Dialer{Secret: "secret", Timer: clock}
+	defer d.Close()
+	call := func() *grpc.ClientConn {
+		conn, err := d.Conn(l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		if _, err := schema.NewEntryServiceClient(conn).Donate(ctx, &schema.DonateRequest{}); status.Code(err) != codes.DeadlineExceeded {
+			t.Fatalf("call without a connection: %v", err)
+		}
+		return conn
+	}
+	first := call()
+	for range 3 {
+		if call() != first {
+			t.Fatal("the connection was replaced while it was being established")
+		}
+	}
+	clock.Advance(minConnectionAge)
+	call()
+	if call() == first {
+		t.Error("a connection that cannot be established is never replaced")
+	}
+}
