Ask the leader ahead of need only for short levels

Change: a control host asks ahead when its level is below a short request, not below the one that it has just lent for; the latter is likely to be of another customer's entry host anyway.

--- a/internal/allocator/lender.go
+++ b/internal/allocator/lender.go
@@ -47,7 +47,7 @@
 		}
 	}
 	tokens = minTokens + l.Bucket.takeAhead(customer, maxTokens-minTokens, minTokens == 0)
-	if wanted := l.Bucket.BeginBorrowAhead(customer, math.Max(minTokens, initialSize)); wanted > 0 {
+	if wanted := l.Bucket.BeginBorrowAhead(customer, initialSize); wanted > 0 {
 		l.background(func() { l.drawAhead(context.WithoutCancel(ctx), customer, wanted) })
 	}
 	return tokens, 0, nil
