Offload plain requests from a busy region, too

Cause: only streams left a region whose upstreams were busy; plain requests went elsewhere only when no place was free by reports that are older than many of them take. Change: plain requests are offloaded by headroom like streams. TestPlainRequestsLeaveABusyRegion.

--- a/internal/forwarder/offload.go
+++ b/internal/forwarder/offload.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// Load of this region above which streams may be offloaded to others.
+	// Load of this region above which requests may be offloaded to others.
 	minOffloadLoad = 0.45
 	// A region with at least this load is not preferred for a shared prefix.
 	maxPrefixLoad = 0.85
@@ -25,11 +25,11 @@
 	minOffloadObjective = 400 * time.Millisecond
 )
 
-// offloadRegion returns the region to which a stream is offloaded although this region may
+// offloadRegion returns the region to which a request is offloaded although this region may
 // serve it; empty if it stays. Requests with a long shared prefix go to the region that has
 // it in its caches, whichever region their callers use; others leave loaded regions only.
 func (f *Forwarder) offloadRegion(r *Request) string {
-	if r.relayed || !r.isStream() || seconds(r.route.Objective) < minOffloadObjective {
+	if r.relayed || seconds(r.route.Objective) < minOffloadObjective {
 		return ""
 	}
 	w := r.schedulerRequest(nil)
--- a/internal/forwarder/offload_test.go
+++ b/internal/forwarder/offload_test.go
@@ -127,3 +127,30 @@
 		}
 	}
 }
+
+// TestPlainRequestsLeaveABusyRegion guards against a peak of plain requests that fills the service
+// of one region and is rejected there, while the services of other regions are idle.
+func TestPlainRequestsLeaveABusyRegion(t *testing.T) {
+	s := newSystem(t, []scriptStep{text(200, "ok")})
+	s.SetRegionDigests([]*schema.RegionDigest{{Region: "idle", Routes: []*schema.ModelDigest{{Name: "p", Slots: 4}}}})
+	offloaded := func(running int32, kind schema.RouteKind) int {
+		s.Scheduler.UpdateOtherLoads([]*schema.PoolLoad{{Pool: "p", Running: map[string]int32{"u0": running}}})
+		n := 0
+		for range 1000 {
+			now := s.Timer.Now()
+			r := &Request{route: &schema.Route{Kind: kind, Objective: 0.6}, pool: "p", objectiveAt: now + time.Second, answerUntil: now + time.Second}
+			if s.offloadRegion(r) == "idle" {
+				n++
+			}
+		}
+		return n
+	}
+	for _, kind := range []schema.RouteKind{schema.RouteKind_ROUTE_SAFE, schema.RouteKind_ROUTE_UNSAFE} {
+		if n := offloaded(4, kind); n < 400 || n > 900 {
+			t.Errorf("%v: %d of 1,000 requests offloaded from a full region to an idle one", kind, n)
+		}
+		if n := offloaded(0, kind); n != 0 {
+			t.Errorf("%v: %d of 1,000 requests offloaded from an idle region", kind, n)
+		}
+	}
+}
