Send a large entry of the log once, compressed and on a connection of its own

The leader sent it again with each heartbeat, every 150 ms, to each follower until it was answered; a message was given up after 1 s, while a connection to another region takes longer for it; heartbeats waited behind the copies, the leader lost its lease, and each copy that the operator sent became another entry. Change: entries in flight are sent again after half an election timeout and a tick for each 16 KB. Messages from 32 KB on have connections of their own and 8 s, and are compressed, as are commands to the leader and configurations to entry hosts. A document sent again while its entry is in progress gets that entry's result; one that is not newer than the committed one is acknowledged at once.

--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -11,9 +11,11 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -375,6 +377,10 @@
 func (k *Cluster) Submit(ctx context.Context, command *schema.Command) (*schema.Result, error) {
 	for {
 		v := k.c.view.Load()
+		if d := command.GetDocument(); d != nil && v.document != nil && d.Number <= v.document.Number {
+			// A document that is not newer than a committed one changes nothing.
+			return &schema.Result{Version: k.c.Distributor.Current().Version}, nil
+		}
 		if v.voterCount() >= k.MinVoters {
 			result, err := k.submitToLeader(ctx, v, command)
 			if err == nil || errors.Is(err, ErrOutcomeUnknown) {
@@ -399,7 +405,8 @@
 	if err != nil {
 		return nil, err
 	}
-	result, err := client.Propose(ctx, &schema.ProposeRequest{Command: command, Token: k.c.Settings.Secret})
+	request := &schema.ProposeRequest{Command: command, Token: k.c.Settings.Secret}
+	result, err := client.Propose(ctx, request, dialer.Compression(proto.Size(request))...)
 	switch status.Code(err) {
 	case codes.OK:
 		return result, nil
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -5,7 +5,9 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -97,7 +99,7 @@
 // Refresh stores an entry host's report and replies with what changed for it. The reply's Age is
 // the time since the configuration here was last confirmed as the newest, in nanoseconds; -1:
 // never.
-func (s *ClusterService) Refresh(_ context.Context, r *schema.RefreshRequest) (*schema.RefreshReply, error) {
+func (s *ClusterService) Refresh(ctx context.Context, r *schema.RefreshRequest) (*schema.RefreshReply, error) {
 	k := s.Cluster
 	if r.Self == nil || r.Self.Name == "" {
 		return nil, status.Error(codes.InvalidArgument, "a host needs a name")
@@ -118,6 +120,9 @@
 	reply.Controls = k.c.view.Load().nearestAddresses(r.Self)
 	reply.Leader = k.c.view.Load().leaderAddress()
 	k.fillLoads(r.Self, reply)
+	if reply.Snapshot != nil || len(reply.Deltas) > 0 {
+		dialer.CompressReply(ctx, proto.Size(reply))
+	}
 	return reply, nil
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -83,11 +84,18 @@
 	failure       chan error // receives the error that halted the replica
 }
 
-// waiter receives the result of the entry that commits at its index in term, or nil if its
-// outcome is unknown.
+// waiter holds who waits for the entry that commits at an index in term: each gets its result, or
+// nil if its outcome is unknown.
 type waiter struct {
-	term    uint64
-	outcome chan *schema.Result
+	term     uint64
+	document *schema.Document // that the entry puts in force; nil if it is another command
+	outcomes []chan *schema.Result
+}
+
+func (w waiter) resolve(result *schema.Result) {
+	for _, outcome := range w.outcomes {
+		outcome <- result
+	}
 }
 
 // Open reads the data folder and must be called before Run.
@@ -101,7 +109,7 @@
 	c.failure = make(chan error, 1)
 	c.metrics = newMetrics()
 	c.senders = senders{
-		dialer: c.Dialer, timer: c.Timer, dropped: c.metrics.messagesDropped, id: identity.Id, address: c.Settings.Internal,
+		dialer: c.Dialer, bulk: &dialer.Dialer{Secret: c.Dialer.Secret, MutualTLS: c.Dialer.MutualTLS, Timer: c.Timer}, timer: c.Timer, dropped: c.metrics.messagesDropped, id: identity.Id, address: c.Settings.Internal,
 	}
 	return c.startReplica(identity, stored)
 }
@@ -277,7 +285,7 @@
 	delete(c.waiters, e.Index)
 	if e.Kind != schema.EntryKind_ENTRY_COMMAND {
 		if waiting {
-			w.outcome <- nil
+			w.resolve(nil)
 		}
 		return
 	}
@@ -291,9 +299,9 @@
 		c.publish(delta)
 	}
 	if waiting && w.term == e.Term {
-		w.outcome <- result
+		w.resolve(result)
 	} else if waiting {
-		w.outcome <- nil
+		w.resolve(nil)
 	}
 }
 
@@ -352,7 +360,7 @@
 
 func (c *Controller) dropWaiters() {
 	for index, w := range c.waiters {
-		w.outcome <- nil
+		w.resolve(nil)
 		delete(c.waiters, index)
 	}
 }
@@ -421,15 +429,35 @@
 	if c.halted {
 		return ErrNotLeader
 	}
+	if c.joinPending(command.GetDocument(), outcome) {
+		return nil
+	}
 	index, term, err := c.replica.Propose(data)
 	if err != nil {
 		return ErrNotLeader
 	}
-	c.waiters[index] = waiter{term: term, outcome: outcome}
+	c.waiters[index] = waiter{term: term, document: command.GetDocument(), outcomes: []chan *schema.Result{outcome}}
 	c.processOutput()
 	return nil
 }
 
+// joinPending makes outcome receive the result of an entry in progress that puts the same document in
+// force: an operator sends a document again when its result takes long, and copies of a large one
+// would take longer still. It reports whether there is such an entry. The caller holds mu.
+func (c *Controller) joinPending(d *schema.Document, outcome chan *schema.Result) bool {
+	if d == nil {
+		return false
+	}
+	for index, w := range c.waiters {
+		if w.document != nil && w.document.Number == d.Number && bytes.Equal(w.document.Source, d.Source) {
+			w.outcomes = append(w.outcomes, outcome)
+			c.waiters[index] = w
+			return true
+		}
+	}
+	return false
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/controller/sender.go
+++ b/internal/controller/sender.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -18,12 +19,18 @@
 	// heartbeats.
 	callsPerReplica = 4
 	sendTimeout     = time.Second
+	// Size of entries from which a message is sent on a connection of its own, so that heartbeats
+	// need not wait behind it, and its timeout: a slow connection takes seconds for it.
+	minBulkBytes    = 32 << 10
+	bulkSendTimeout = 8 * time.Second
 )
 
-// senders sends messages to the other replicas, with one queue for each address. A message is
-// dropped if the queue is full: the protocol sends it again.
+// senders sends messages to the other replicas, with two queues for each address: one for large
+// messages. A message is dropped if the queue is full: the protocol sends it again.
 type senders struct {
-	dialer  *dialer.Dialer
+	dialer *dialer.Dialer
+	// bulk has the connections for large messages.
+	bulk    *dialer.Dialer
 	timer   *timer.Service
 	dropped prometheus.Counter
 	// id and address are those of this replica.
@@ -31,12 +38,27 @@
 	address string
 
 	mu               sync.Mutex
-	learnedAddresses map[uint64]string               // addresses of replicas that sent messages, by identity; guarded by mu
-	queues           map[string]chan *schema.Message // by address; guarded by mu
-	closed           bool                            // guarded by mu
+	learnedAddresses map[uint64]string                    // addresses of replicas that sent messages, by identity; guarded by mu
+	queues           map[destination]chan *schema.Message // guarded by mu
+	closed           bool                                 // guarded by mu
 	workers          sync.WaitGroup
 }
 
+// destination is a replica's address and which of the connections to it is used.
+type destination struct {
+	address string
+	bulk    bool
+}
+
+// isBulk reports whether a message is sent on the connection for large messages.
+func isBulk(m *schema.Message) bool {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	return size >= minBulkBytes || m.Snapshot != nil
+}
+
 func (s *senders) enqueue(messages []*schema.Message, members *schema.Members) {
 	if len(messages) == 0 {
 		return
@@ -56,7 +78,7 @@
 			continue
 		}
 		select {
-		case s.queueTo(address) <- m:
+		case s.queueTo(destination{address, isBulk(m)}) <- m:
 		default:
 			s.dropped.Inc()
 		}
@@ -74,23 +96,23 @@
 	s.learnedAddresses[id] = address
 }
 
-// queueTo returns the queue to an address, with its workers running. The caller holds mu.
-func (s *senders) queueTo(address string) chan *schema.Message {
-	if q := s.queues[address]; q != nil {
+// queueTo returns the queue to a destination, with its workers running. The caller holds mu.
+func (s *senders) queueTo(to destination) chan *schema.Message {
+	if q := s.queues[to]; q != nil {
 		return q
 	}
 	if s.queues == nil {
-		s.queues = map[string]chan *schema.Message{}
+		s.queues = map[destination]chan *schema.Message{}
 	}
 	q := make(chan *schema.Message, maxQueuedMessages)
-	s.queues[address] = q
+	s.queues[to] = q
 	for range callsPerReplica {
-		s.workers.Go(func() { s.sendQueued(address, q) })
+		s.workers.Go(func() { s.sendQueued(to, q) })
 	}
 	return q
 }
 
-func (s *senders) sendQueued(address string, q chan *schema.Message) {
+func (s *senders) sendQueued(to destination, q chan *schema.Message) {
 	for m := range q {
 		batch := []*schema.Message{m}
 	drain:
@@ -105,16 +127,21 @@
 				break drain
 			}
 		}
-		s.sendBatch(address, batch)
+		s.sendBatch(to, batch)
 	}
 }
 
-func (s *senders) sendBatch(address string, batch []*schema.Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+func (s *senders) sendBatch(to destination, batch []*schema.Message) {
+	d, timeout := s.dialer, sendTimeout
+	if to.bulk {
+		d, timeout = s.bulk, bulkSendTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	client, err := s.dialer.ControlClient(address)
+	client, err := d.ControlClient(to.address)
 	if err == nil {
-		_, err = client.Replicate(ctx, &schema.Messages{Messages: batch, From: s.id, Address: s.address})
+		messages := &schema.Messages{Messages: batch, From: s.id, Address: s.address}
+		_, err = client.Replicate(ctx, messages, dialer.Compression(proto.Size(messages))...)
 	}
 	if err != nil {
 		s.dropped.Add(float64(len(batch)))
@@ -129,4 +156,5 @@
 	}
 	s.mu.Unlock()
 	s.workers.Wait()
+	s.bulk.Close()
 }
--- a/internal/controller/storage_test.go
+++ b/internal/controller/storage_test.go
@@ -118,3 +118,40 @@
 	}
 	return c
 }
+
+// TestResentDocumentJoinsPending guards against copies of a document in the log: an operator that
+// sends it again before its result is known gets the result of the entry in progress. Another
+// document, also one with the same number, does not.
+func TestResentDocumentJoinsPending(t *testing.T) {
+	c := newSingleController(t, nil)
+	first := make(chan *schema.Result, 1)
+	c.waiters[5] = waiter{term: 1, document: document(7), outcomes: []chan *schema.Result{first}}
+	resent, other := make(chan *schema.Result, 1), make(chan *schema.Result, 1)
+	if !c.joinPending(document(7), resent) {
+		t.Error("the same document is proposed again")
+	}
+	if c.joinPending(&schema.Document{Number: 7, Source: []byte("other")}, other) || c.joinPending(document(8), other) || c.joinPending(nil, other) {
+		t.Error("another command joined the document")
+	}
+	c.waiters[5].resolve(&schema.Result{Version: 3})
+	if a, b := <-first, <-resent; a.Version != 3 || b.Version != 3 {
+		t.Errorf("results %v and %v", a, b)
+	}
+}
+
+// TestLargeMessagesHaveTheirOwnConnection guards against heartbeats that wait behind a large entry.
+func TestLargeMessagesHaveTheirOwnConnection(t *testing.T) {
+	for _, c := range []struct {
+		message *schema.Message
+		bulk    bool
+	}{
+		{&schema.Message{}, false},
+		{&schema.Message{Entries: []*schema.Entry{{Data: make([]byte, 500)}, {Data: make([]byte, 500)}}}, false},
+		{&schema.Message{Entries: []*schema.Entry{{Data: make([]byte, minBulkBytes)}}}, true},
+		{&schema.Message{Snapshot: &schema.LogSnapshot{}}, true},
+	} {
+		if got := isBulk(c.message); got != c.bulk {
+			t.Errorf("%d entries, snapshot %v: bulk %v", len(c.message.Entries), c.message.Snapshot != nil, got)
+		}
+	}
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -39,6 +40,27 @@
 	minConnectionAge = time.Second
 )
 
+// minCompressedBytes is the size of a message from which it is compressed: smaller ones fit in the
+// first window of a connection, and take one round trip in any case.
+const minCompressedBytes = 32 << 10
+
+// Compression returns the options for a call whose request has the given size in bytes: large
+// messages, such as configurations of many routes, consist of much the same text again and again.
+func Compression(size int) []grpc.CallOption {
+	if size < minCompressedBytes {
+		return nil
+	}
+	return []grpc.CallOption{grpc.UseCompressor(gzip.Name)}
+}
+
+// CompressReply makes the server compress the reply of the call that ctx belongs to if its size in
+// bytes is large. A reply that cannot be compressed is sent as it is.
+func CompressReply(ctx context.Context, size int) {
+	if size >= minCompressedBytes {
+		_ = grpc.SetSendCompressor(ctx, gzip.Name)
+	}
+}
+
 // ErrWrongSecret is returned to a client of the internal listener that did not send the
 // secret shared by the processes of the system.
 var ErrWrongSecret = status.Error(codes.Unauthenticated, "dialer: wrong secret")
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -112,7 +112,7 @@
 }
 
 // broadcastHeartbeat starts a new heartbeat round. Each heartbeat carries the entries that
-// the member lacks.
+// the member lacks, unless they are in flight.
 func (r *Replica) broadcastHeartbeat() {
 	r.heartbeatRound++
 	r.roundSentAt[r.heartbeatRound] = r.now
@@ -146,8 +146,19 @@
 		r.sendSnapshot(id)
 		return
 	}
-	entries := r.log.entriesFrom(p.nextIndex, maxAppendBytes)
-	p.inFlight = len(entries) > 0
+	var entries []*schema.Entry
+	if !p.inFlight || p.lastInFlight == 0 || r.now >= p.resendAt {
+		entries = r.log.entriesFrom(p.nextIndex, maxAppendBytes)
+		p.inFlight, p.lastInFlight = len(entries) > 0, 0
+	}
+	if len(entries) > 0 {
+		size := 0
+		for _, e := range entries {
+			size += len(e.Data) + entryOverheadBytes
+		}
+		p.lastInFlight = entries[len(entries)-1].Index
+		p.resendAt = r.now + r.ElectionTicks/2 + size/minBytesPerTick
+	}
 	r.send(&schema.Message{
 		Kind: schema.MessageKind_MESSAGE_APPEND, To: id, Term: r.term, Index: prev, Logterm: t,
 		Commit: r.commitIndex, Entries: entries, Round: r.heartbeatRound,
@@ -164,7 +175,7 @@
 	if s == nil {
 		return
 	}
-	p.inFlight, p.snapshotSentAt = true, r.now
+	p.inFlight, p.lastInFlight, p.snapshotSentAt = true, 0, r.now
 	r.send(&schema.Message{Kind: schema.MessageKind_MESSAGE_SNAPSHOT, To: id, Term: r.term, Snapshot: s, Round: r.heartbeatRound})
 }
 
@@ -186,7 +197,10 @@
 	if !m.Reject && m.Index < r.log.snapshotIndex && p.inFlight {
 		return // reply to an empty heartbeat that was sent while a snapshot is in flight
 	}
-	p.inFlight = false
+	if !m.Reject && p.lastInFlight > 0 && m.Index < p.nextIndex && r.now < p.resendAt {
+		return // reply to an empty heartbeat that was sent while entries are in flight
+	}
+	p.inFlight, p.lastInFlight = false, 0
 	if m.Reject {
 		p.nextIndex = max(min(m.Hint, m.Index-1)+1, p.matchIndex+1)
 		r.sendAppend(m.From)
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -16,6 +16,10 @@
 	leaseDriftTicks = 2
 	// Number of election timeouts after which an unanswered snapshot is sent again.
 	snapshotResendTimeouts = 4
+	// Entries that are not answered are sent again after half an election timeout, and a tick
+	// for each of these bytes: on a slow connection a copy would only delay the first one, and
+	// the heartbeats behind it.
+	minBytesPerTick = 16 << 10
 )
 
 // Errors of proposals and membership changes. If one is returned, nothing was appended.
@@ -67,6 +71,10 @@
 	matchIndex, nextIndex uint64
 	// inFlight is set while entries or a snapshot have been sent and not answered.
 	inFlight bool
+	// lastInFlight is the index of the last entry in flight; 0 if a snapshot is. The entries
+	// are sent again at tick resendAt.
+	lastInFlight uint64
+	resendAt     int
 	// ackedRound is the newest heartbeat round that the member answered.
 	ackedRound uint64
 	// repliedAt is the leader's tick at the newest reply, or at which tracking began.
--- a/internal/replicator/replica_test.go
+++ b/internal/replicator/replica_test.go
@@ -326,3 +326,67 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, 1000+seed, true) })
 	}
 }
+
+// TestLargeEntryIsSentOnce guards against a leader that sends a large entry again with each heartbeat
+// until it is answered: on a slow connection the copies delay the heartbeats behind them, and the
+// leader loses its lease. An entry whose message is lost must still be sent again.
+func TestLargeEntryIsSentOnce(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	for range 200 {
+		g.tickAll()
+		for len(g.inTransit) > 0 {
+			g.deliverOne()
+		}
+	}
+	var leader *testReplica
+	for _, m := range g.replicas {
+		if role, _, _ := m.r.Status(); role == Leader {
+			leader = m
+		}
+	}
+	if leader == nil {
+		t.Fatal("no leader elected")
+	}
+	entry := make([]byte, 700<<10)
+	if _, _, err := leader.r.Propose(entry); err != nil {
+		t.Fatal(err)
+	}
+	sentTo := map[uint64]int{}
+	heartbeats := 0
+	run := func(ticks int) {
+		for range ticks {
+			for _, m := range leader.r.TakeOutput().Messages {
+				heartbeats++
+				for _, e := range m.Entries {
+					if len(e.Data) == len(entry) {
+						sentTo[m.To]++
+					}
+				}
+				// Followers answer the empty heartbeats; the entry is on its way.
+				if len(m.Entries) == 0 {
+					leader.r.Step(&schema.Message{Kind: schema.MessageKind_MESSAGE_APPEND_REPLY, From: m.To, To: m.From, Term: m.Term, Index: m.Index, Round: m.Round})
+				}
+			}
+			leader.r.Tick()
+		}
+	}
+	inTransit := len(entry) / minBytesPerTick
+	run(inTransit)
+	for id, n := range sentTo {
+		if n != 1 {
+			t.Errorf("sent %d times to replica %d while it is in transit", n, id)
+		}
+	}
+	if len(sentTo) != 2 || heartbeats < 2*inTransit/2 {
+		t.Errorf("entry sent to %d replicas, %d messages in %d ticks", len(sentTo), heartbeats, inTransit)
+	}
+	if role, _, _ := leader.r.Status(); role != Leader || leader.r.RemainingLeaseTicks() == 0 {
+		t.Error("the leader has lost its lease")
+	}
+	run(2 * leader.r.ElectionTicks)
+	for id, n := range sentTo {
+		if n < 2 {
+			t.Errorf("a lost entry was not sent to replica %d again", id)
+		}
+	}
+}
