Fix the choice of the first upstream in the forwarder's tests

Change: preferFirst sets the scheduler's random numbers such that the first upstream is picked. The checks are as they were.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -251,8 +251,10 @@
 	}
 }
 
-// preferFirst makes the other upstreams look busier, so that the first one is tried first.
+// preferFirst makes the random choice among plain services that of the first one, and the other
+// upstreams look busier.
 func (s *system) preferFirst() {
+	s.Scheduler.Random = func(n int) int { return n - 1 }
 	s.Scheduler.UpdateOtherLoads([]*schema.PoolLoad{{Pool: "p", Running: map[string]int32{"u1": 2}}})
 }
 
