--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -21,6 +21,8 @@
 	maxHistogramMicros = 120_000_000
 	histogramDigits    = 3
 	maxEventBytes      = 1 << 20
+	// Maximum size of a response's header.
+	maxHeaderBytes = 64 << 10
 	// Largest number of tokens that is requested for an answer if Customer.Tokens is 0.
 	maxVariedTokens = 48
 )
@@ -104,7 +106,7 @@
 // Run sends the load until Duration has passed or ctx ends, waits for the answers, and returns what
 // callers saw, in the order of Customers.
 func (l *Loader) Run(ctx context.Context) []Result {
-	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true, MaxResponseHeaderBytes: 64 << 10}}
+	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 	l.stats = map[string]*customerStats{}
 	var wg sync.WaitGroup
 	startedAt := time.Now()
