Do not send grpc's keep-alive pings, which the time of day misleads

Change: no pings. Calls have deadlines, connections without replies are replaced, the kernel probes idle connections.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -31,13 +31,15 @@
 	// MaxMessageBytes is the maximum size of one gRPC message, sent or received.
 	MaxMessageBytes = 64 << 20
 	secretHeader    = "trefoil-secret"
-	pingInterval    = 10 * time.Second
-	pingTimeout     = 2 * time.Second
 	minRedialDelay  = 50 * time.Millisecond
 	maxRedialDelay  = time.Second
 	// Time for which a connection without a reply is not replaced: it takes two round trips to
 	// another region to be established, and may not be younger than the calls that wait for it.
 	minConnectionAge = time.Second
+	// Interval at which hosts of earlier versions send pings on a connection. This version sends
+	// none: grpc compares their times by the time of day, and after that has jumped back closes
+	// connections on which calls run. Calls have deadlines, and the kernel probes idle connections.
+	earlierPingInterval = 10 * time.Second
 )
 
 // minCompressedBytes is the size of a message from which it is compressed: smaller ones fit in the
@@ -106,7 +108,6 @@
 			Backoff:           backoff.Config{BaseDelay: minRedialDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay},
 			MinConnectTimeout: maxRedialDelay,
 		}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 		grpc.WithUnaryInterceptor(d.interceptUnary(address)),
 		grpc.WithStreamInterceptor(d.interceptStream),
@@ -256,8 +257,8 @@
 	return grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
+		// Hosts of earlier versions send pings, at these intervals at most.
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: earlierPingInterval / 2, PermitWithoutStream: true}),
 		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
 			defer recoverCall(log, info.FullMethod, &err)
 			if err := authorize(ctx, info.FullMethod); err != nil {
