--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -73,6 +73,19 @@
 	return r.Parts[len(r.Parts)-2].ID
 }
 
+// sharedPartIDs returns the IDs of the parts of the prompt that other requests may share, at most
+// maxLoggedParts.
+func (r *Request) sharedPartIDs() []string {
+	var ids []string
+	for _, p := range r.Parts[:max(0, min(len(r.Parts)-1, maxLoggedParts))] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// maxLoggedParts is the number of parts of a prompt that a log line names.
+const maxLoggedParts = 8
+
 func (r *Request) isStream() bool { return r.route.Kind == schema.RouteKind_ROUTE_STREAM }
 
 // Sink receives the response for a caller.
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -36,7 +36,7 @@
 	confirmationAge, _ := t.f.ConfirmationAge()
 	t.f.Metrics.slotWait.Observe(wait.Seconds())
 	t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Dur("waited", wait).
-		Dur("expected", reservation.ExpectedDelay).Str("shared", t.r.sharedPrefix()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
+		Dur("expected", reservation.ExpectedDelay).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
 		Bool("agreed", reservation.Preferred).Str("passed", string(reservation.PreferredSkipped)).
 		Dur("certainty", confirmationAge).Int("sent", t.r.attempts).Msg("placed")
 }
