Do not take a stream without length that ends before its first event for complete

Callers could get an empty 200 in place of a stream when an upstream that sends neither a length nor chunks ended before its first event. Cause: the end of the connection was taken for the end of the body, which such an answer does not mark. Every stream has an event, so without one the answer is broken off: 502, or another upstream where that is allowed. The rows 'ends before its first event' of TestAnswersWithoutLength failed before (status 200, empty body); the others passed before.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -13,6 +13,10 @@
 // errCallerDisconnected means that writing to the caller failed.
 var errCallerDisconnected = errors.New("forwarder: writing to the caller failed")
 
+// errUnfinished means that a stream ended within an event, or without a length or chunks before its
+// first one.
+var errUnfinished = errors.New("forwarder: the stream ended unfinished")
+
 const streamBufferBytes = 8 << 10
 
 // responseState records what the caller has of the response, across attempts.
@@ -45,6 +49,7 @@
 	watch := newStallWatch(f.Timer, stallTimeout(r.route), call.Abort)
 	defer watch.end()
 	var buffer eventBuffer
+	begun := false
 	b := make([]byte, streamBufferBytes)
 	for {
 		n, readErr := call.Read(b)
@@ -53,6 +58,7 @@
 			return errors.Join(errUpstreamFailed, err)
 		}
 		if len(events) > 0 {
+			begun = true
 			if hasContent(events) {
 				watch.recordProgress()
 				reservation.RecordFirstToken()
@@ -63,12 +69,14 @@
 			}
 		}
 		switch {
-		case readErr == io.EOF && !buffer.incomplete():
+		case readErr == io.EOF && !buffer.incomplete() && (begun || !call.Unframed()):
 			f.sendHead(r, sink, s, call)
 			sink.Finish()
 			return nil
 		case watch.stalled.Load():
 			return errors.Join(errUpstreamFailed, errStalled)
+		case readErr == io.EOF:
+			return errors.Join(errUpstreamFailed, errUnfinished)
 		case readErr != nil:
 			return errors.Join(errUpstreamFailed, readErr)
 		}
--- /dev/null
+++ b/internal/forwarder/unframed_test.go
@@ -0,0 +1,68 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// unframed responds with neither a length nor chunks, so that the body ends with the connection,
+// which is closed, or reset.
+func unframed(t *testing.T, body string, reset bool) scriptStep {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body); err != nil {
+			t.Error(err)
+		}
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// TestAnswersWithoutLength guards against taking an answer that neither states a length nor has
+// chunks for complete although it was broken off.
+func TestAnswersWithoutLength(t *testing.T) {
+	good := []scriptStep{text(200, "good")}
+	rest := []scriptStep{text(200, "id: 2\ndata: b\n\n")}
+	for _, c := range []struct {
+		name, path string
+		body       string
+		reset      bool
+		second     []scriptStep
+		want       result
+		arrivals   []string
+	}{
+		{"whole answer", "/unsafe/x", "ok", false, good, result{Status: 200, Body: "ok", Finished: true}, []string{"u0"}},
+		{"whole answer, reset", "/unsafe/x", "o", true, good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
+		{"whole answer, reset, repeated", "/safe/x", "o", true, good, result{Status: 200, Body: "good", Finished: true}, []string{"u0", "u1"}},
+		{"stream", "/stream/x", events, false, good, result{Status: 200, Body: events, Finished: true}, []string{"u0"}},
+		{"stream that ends within an event", "/stream/x", "id: 1\ndata: a\n\nid: 2\nda", false, good,
+			result{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, []string{"u0"}},
+		{"stream that ends within an event, resumed", "/resume/x", "id: 1\ndata: a\n\nid: 2\nda", false, rest,
+			result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1 1"}},
+		{"stream that ends within its first event", "/stream/x", "id: 1\nda", false, good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
+		{"stream that ends before its first event", "/stream/x", "", false, good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
+		{"stream that ends before its first event, sent again", "/resume/x", "", false, []scriptStep{text(200, events)},
+			result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1"}},
+		{"stream that is reset within its first event", "/stream/x", "id: 1\nda", true, good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
+	} {
+		s := newSystem(t, []scriptStep{unframed(t, c.body, c.reset)}, c.second)
+		s.preferFirst()
+		got := s.call(c.path, "")
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+		if diff := cmp.Diff(c.arrivals, s.allArrivals()); diff != "" {
+			t.Errorf("%s: arrivals: -want +got\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -216,6 +216,12 @@
 	return n, err
 }
 
+// Unframed reports whether the body of the response has neither a length nor chunks: it ends with the
+// connection.
+func (c *Call) Unframed() bool {
+	return c.Response.ContentLength < 0 && len(c.Response.TransferEncoding) == 0
+}
+
 // Abort closes the connection, so that a Read in progress and all later ones fail. It may be called
 // concurrently with the other methods.
 func (c *Call) Abort() { _ = c.conn.Conn.Close() }
