Quarantine parts of prompts that crash upstreams

Cause: an upstream's end was only that upstream's failure. No host related it to what had just begun there, so requests with the part that crashed it were sent to the next one, by every host and on every repeat. Class: a fault of the input taken for a fault of the server.

Ruled out: cold engines (the first five were warm), memory (1,100 to 1,300 tokens of 242,370).

Change: entry hosts relate unannounced ends to the answers that had just begun there, and tell the control hosts; the leader quarantines a part after three ends, a second or more apart, that no upstream survived in between, if no other part explains them. Upstreams that end together, or as announced, or under an answer that had begun half a second before, accuse no part; the survival of a suspect at any host clears it. Registers are merged in both directions, so a decision reaches all hosts with the next reports and outlives leaders and restarts. Requests with such a part get 503 and the time that is left, on arrival and before each attempt; others with the same caller and other parts go on. A refusal before an attempt also no longer costs a retry.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -260,6 +260,16 @@
 	}
 }
 
+// Upstream returns the newest report of an upstream, also of one that has ended; nil if none is known.
+func (t *Table) Upstream(name string) *schema.Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.upstreams[name]; u != nil {
+		return u.report
+	}
+	return nil
+}
+
 // Upstreams returns the reports of all upstreams that have not ended, sorted by name.
 func (t *Table) Upstreams() []*schema.Announcement {
 	t.mu.Lock()
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -60,6 +61,9 @@
 	Allocator *allocator.Allocator
 	// Bucket holds this host's part of customers' limits, out of which it lends to entry hosts.
 	Bucket *allocator.Bucket
+	// Evidence and Quarantine hold what hosts found of parts of prompts that crash upstreams.
+	Evidence   *quarantiner.Evidence
+	Quarantine *quarantiner.Register
 
 	lender     *allocator.Lender
 	c          *Controller
@@ -74,9 +78,10 @@
 	lastReplyRequestedAt time.Duration        // when lastReply was requested; guarded by mu
 
 	// Only consultLoop uses the fields below.
-	consultedAddress string        // address of the leader that was last sent reports
-	cursor           uint64        // position in the table of the leader
-	process          uint64        // identifies the table that cursor belongs to
+	consultedAddress string // address of the leader that was last sent reports
+	cursor           uint64 // position in the table of the leader
+	process          uint64 // identifies the table that cursor belongs to
+	findings         *quarantiner.Link
 	leaderLost       bool          // the last Consult call failed
 	demandReportedAt time.Duration // time of the last report of demand
 	demandReports    uint64        // number of reports of demand
@@ -93,6 +98,7 @@
 	k.c = c
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
+	k.findings = &quarantiner.Link{Source: k.Evidence, Register: k.Quarantine}
 	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
 	k.candidates = map[uint64]candidate{}
@@ -102,7 +108,8 @@
 	go k.consultLoop(ctx)
 	stopMembers := c.Timer.Every(membershipInterval, k.updateMembership)
 	stopSweep := c.Timer.Every(sweepInterval, func() { k.Table.Sweep(c.view.Load().holdsLease(c.Timer.Now())) })
-	context.AfterFunc(ctx, func() { stopMembers(); stopSweep() })
+	stopDecide := c.Timer.Every(decideInterval, k.decideQuarantine)
+	context.AfterFunc(ctx, func() { stopMembers(); stopSweep(); stopDecide() })
 }
 
 // requestConsult makes consultLoop call the leader as soon as minConsultInterval allows.
@@ -250,7 +257,7 @@
 	requestedAt := k.c.Timer.Now()
 	reply, err := client.Consult(ctx, &schema.ConsultRequest{
 		Region: k.Self.Region, Address: k.Self.Address, Upstreams: upstreams, Peers: hosts, Cursor: k.cursor, Process: k.process,
-		Loads: k.Table.DirectLoads(), Lender: k.demandReport(),
+		Loads: k.Table.DirectLoads(), Lender: k.demandReport(), Findings: k.findings.Request(k.process),
 	})
 	if err != nil || !reply.Leader {
 		k.Table.ResetForwarded()
@@ -334,6 +341,9 @@
 	for _, p := range r.Peers {
 		k.Table.StoreHost(p, leader)
 	}
+	for _, part := range k.findings.Apply(r.Findings, r.Process) {
+		k.logQuarantine(part, leader)
+	}
 	k.cursor, k.process = r.Cursor, r.Process
 	k.Bucket.ApplyAllotment(r.Allotment, requestedAt)
 	k.mu.Lock()
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -64,6 +64,7 @@
 	reply.Cursor, reply.Process = changes.Cursor, changes.Process
 	reply.Loads = k.Table.Loads(r.Region, r.Address)
 	reply.Digests = k.Table.Digests(r.Region)
+	reply.Findings = k.storeFindings(r.Findings, r.Address)
 	return reply, nil
 }
 
@@ -120,6 +121,7 @@
 	reply.Controls = k.c.view.Load().nearestAddresses(r.Self)
 	reply.Leader = k.c.view.Load().leaderAddress()
 	k.fillLoads(r.Self, reply)
+	reply.Findings = k.storeFindings(r.Findings, r.Self.Name)
 	if reply.Snapshot != nil || len(reply.Deltas) > 0 {
 		dialer.CompressReply(ctx, proto.Size(reply))
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -81,7 +82,10 @@
 // mayRetry reports whether a request may be sent to another upstream after err. If so, it
 // takes the retry from the budget, unless no upstream has received the request yet.
 func (f *Forwarder) mayRetry(r *Request, err error, s *responseState) bool {
+	var refusal *Refusal
 	switch {
+	case errors.As(err, &refusal): // it was not sent, and holds for every upstream
+		return false
 	case errors.Is(err, pooler.ErrNotSent), errors.Is(err, errMisdirected):
 		return r.reached == 0 || f.Budget.TakeRetry(r.pool)
 	case s.headSent && !r.resumable():
@@ -97,7 +101,7 @@
 func (f *Forwarder) runAttempt(ctx context.Context, r *Request, sink Sink, t *trace, reservation *scheduler.Reservation, s *responseState) error {
 	outcome := scheduler.Failed
 	defer func() { reservation.Release(outcome) }()
-	if err := f.recheckKey(r); err != nil {
+	if err := cmp.Or(f.recheckKey(r), f.checkQuarantine(r)); err != nil {
 		outcome = scheduler.CallerLeft
 		return err
 	}
@@ -166,6 +170,7 @@
 	if err != nil {
 		return errors.Join(pooler.ErrNotSent, err)
 	}
+	s.run = f.observe(r, reservation)
 	call, err := f.Pool.Send(ctx, reservation.Address, request, !r.repeatable())
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
@@ -176,10 +181,17 @@
 		// What broke this connection may have broken the idle ones too.
 		f.Pool.CloseIdle(reservation.Address)
 		r.mayHaveRun = true
+		recordEnd(ctx, s.run, err)
 		return errors.Join(errUpstreamFailed, err)
 	}
 	defer call.Close()
-	return f.receive(r, sink, reservation, s, a, call)
+	err = f.receive(r, sink, reservation, s, a, call)
+	if err == nil && call.Unframed() {
+		s.run.RecordUnframed()
+		return nil
+	}
+	recordEnd(ctx, s.run, err)
+	return err
 }
 
 // receive classifies the head of a response and forwards the response.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -32,8 +33,12 @@
 	Pool      *pooler.Pool
 	Bucket    *allocator.Bucket
 	Budget    *RetryBudget
-	Protocol  Protocol
-	Metrics   *Metrics
+	// Observer relates ends of upstreams to requests, and Quarantine names parts of prompts that
+	// crash upstreams. Both may be nil.
+	Observer   *quarantiner.Observer
+	Quarantine *quarantiner.Register
+	Protocol   Protocol
+	Metrics    *Metrics
 	// ConfirmationAge returns the time since the configuration was last confirmed as the
 	// newest; false if it never was.
 	ConfirmationAge func() (time.Duration, bool)
@@ -97,6 +102,10 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	if err := f.checkQuarantine(r); err != nil {
+		t.refuse(sink, refusalOf(err))
+		return
+	}
 	if err := f.admit(ctx, r); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
--- /dev/null
+++ b/internal/forwarder/quarantine_test.go
@@ -0,0 +1,127 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/scheduler"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+func (s *system) callWithParts(path string, parts ...string) (result, time.Duration) {
+	now := s.Timer.Now()
+	sink := &retrySink{}
+	r := &Request{ID: "1", Host: "h", Method: "POST", Path: path, Header: http.Header{}, ArrivedAt: now, DeadlineAt: now + 2*time.Second}
+	for _, id := range parts {
+		r.Parts = append(r.Parts, scheduler.PromptPart{ID: id, Tokens: 10})
+	}
+	s.Serve(context.Background(), r, sink)
+	return sink.result, sink.retryAfter
+}
+
+// retrySink also records after what time a refused caller may return.
+type retrySink struct {
+	recorderSink
+	retryAfter time.Duration
+}
+
+func (s *retrySink) Refuse(f *Refusal) {
+	s.recorderSink.Refuse(f)
+	s.retryAfter = f.RetryAfter
+}
+
+// TestQuarantinedPart guards against sending a request with a quarantined part to an upstream, first
+// or again, and against refusing others that share the rest of the prompt.
+func TestQuarantinedPart(t *testing.T) {
+	quarantined := []*schema.QuarantinedPart{{Part: quarantiner.PartKey("bad"), Number: 1, Left: 60}}
+	s := newSystem(t, []scriptStep{text(200, events)}, []scriptStep{text(200, events)})
+	s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
+	s.Quarantine.Merge(quarantined)
+	got, retryAfter := s.callWithParts("/stream/x", "base", "bad", "own")
+	if diff := cmp.Diff(result{Status: 503, Cause: causeQuarantined}, got); diff != "" {
+		t.Errorf("quarantined: -want +got\n%s", diff)
+	}
+	if retryAfter > time.Minute || retryAfter < 50*time.Second {
+		t.Errorf("Retry-After is %v, want the rest of the quarantine, a minute", retryAfter)
+	}
+	for _, parts := range [][]string{{"base", "good", "own"}, {"base", "bad"}, {}} {
+		got, _ := s.callWithParts("/stream/x", parts...)
+		if diff := cmp.Diff(result{Status: 200, Body: events, Finished: true}, got); diff != "" {
+			t.Errorf("sound, parts %v: -want +got\n%s", parts, diff)
+		}
+	}
+	if n := len(s.allArrivals()); n != 3 {
+		t.Errorf("%d requests arrived at upstreams, want the 3 sound ones", n)
+	}
+}
+
+// TestQuarantineStopsRepeats guards against sending a request to another upstream if its part was
+// quarantined while it ran.
+func TestQuarantineStopsRepeats(t *testing.T) {
+	s := newSystem(t)
+	s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
+	crash := func(w http.ResponseWriter, r *http.Request) {
+		s.Quarantine.Merge([]*schema.QuarantinedPart{{Part: quarantiner.PartKey("bad"), Number: 1, Left: 60}})
+		truncate("")(w, r)
+	}
+	s.Scheduler.UpdateUpstreams([]*schema.Announcement{
+		{Name: "u0", Address: s.upstream(t, "u0", []scriptStep{crash}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1},
+		{Name: "u1", Address: s.upstream(t, "u1", []scriptStep{crash}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1},
+	})
+	got, _ := s.callWithParts("/resume/x", "base", "bad", "own")
+	if diff := cmp.Diff(result{Status: 502, Cause: causeQuarantined}, got); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+	if n := len(s.allArrivals()); n != 1 {
+		t.Errorf("%d upstreams got the request, want 1", n)
+	}
+}
+
+// TestLostAnswersAreObserved guards against ends of upstreams that nothing relates to the requests
+// there: with a length, in chunks, and ended by the connection.
+func TestLostAnswersAreObserved(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step scriptStep
+		want bool
+	}{
+		{"before the head", truncate(""), true},
+		{"in the first event", truncate("id: 1\nda"), true},
+		{"after the first event", truncate("id: 1\ndata: a\n\n"), true},
+		{"without length, before the first event", unframed(t, "", false), true},
+		{"without length, after the first event", unframed(t, "id: 1\ndata: a\n\n", false), true},
+		{"reset", unframed(t, "", true), true},
+		{"answered", text(200, events), false},
+		{"rejected", text(503, "", "Not-Run", "1"), false},
+		{"failed, answered", text(500, "bad"), false},
+	} {
+		s := newSystem(t, []scriptStep{c.step})
+		ended := make(chan struct{}, 1)
+		checked := make(chan struct{}, 16)
+		s.Observer = &quarantiner.Observer{
+			Timer: s.Timer, Log: zerolog.Nop(), OnEnd: func() { ended <- struct{}{} },
+			Refused: func(context.Context, string) bool { return true },
+			State:   func(quarantiner.Upstream) quarantiner.State { checked <- struct{}{}; return quarantiner.Running },
+		}
+		_, _ = s.callWithParts("/stream/x", "base", "p", "own")
+		if !c.want {
+			f, _ := s.Observer.Since(0)
+			if len(f.Ends) > 0 || len(checked) > 0 {
+				t.Errorf("%s: taken for a lost answer", c.name)
+			}
+			continue
+		}
+		<-ended
+		f, _ := s.Observer.Since(0)
+		want := []uint64{quarantiner.PartKey("base"), quarantiner.PartKey("p")}
+		if len(f.Ends) != 1 || f.Ends[0].Incarnation != 1 || !cmp.Equal(want, f.Ends[0].Parts) {
+			t.Errorf("%s: got ends %v, want one of incarnation 1 under %v", c.name, f.Ends, want)
+		}
+	}
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -21,6 +21,8 @@
 	RetryAfter time.Duration
 	// Err is the underlying error, for the log only; nil if Cause says all.
 	Err error
+	// Part is the ID of the quarantined part of the prompt, for the log only; empty for other causes.
+	Part string
 }
 
 // Error returns the cause.
@@ -43,6 +45,7 @@
 	causeRelay       = "another region's host failed"
 	causeUnreachable = "the upstream cannot be reached"
 	causeStopping    = "the host is stopping"
+	causeQuarantined = "upstreams crashed under a part of the prompt"
 )
 
 const (
@@ -106,5 +109,5 @@
 	if f.Cause == causeTimeout {
 		status = http.StatusGatewayTimeout
 	}
-	return &Refusal{Status: status, Cause: f.Cause, Err: f.Err}
+	return &Refusal{Status: status, Cause: f.Cause, Err: f.Err, Part: f.Part}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -39,12 +40,13 @@
 	regions       []string // that may serve it; nil: any
 	priority      int
 	chargedTokens float64
-	objectiveAt   time.Duration // by which it should be answered, counted from the caller's first attempt
-	answerUntil   time.Duration // earlier of the caller's deadline and the route's timeout
-	configVersion uint64        // of the configuration that routed it
-	relayed       bool          // by an entry host of another region
-	attempts      int           // upstreams that it was sent to, without misdirected attempts
-	reached       int           // upstreams that received it, also those that rejected it
+	objectiveAt   time.Duration      // by which it should be answered, counted from the caller's first attempt
+	answerUntil   time.Duration      // earlier of the caller's deadline and the route's timeout
+	configVersion uint64             // of the configuration that routed it
+	relayed       bool               // by an entry host of another region
+	attempts      int                // upstreams that it was sent to, without misdirected attempts
+	reached       int                // upstreams that received it, also those that rejected it
+	keyedParts    []quarantiner.Part // parts that other requests may share; set by sharedParts
 	mayHaveRun    bool
 }
 
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -39,7 +39,7 @@
 			return err
 		}
 		reason = err
-		if r.reached > 0 && !f.Budget.TakeRetry(r.pool) {
+		if isQuarantined(err) || r.reached > 0 && !f.Budget.TakeRetry(r.pool) {
 			break
 		}
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -29,6 +30,8 @@
 	// request's arrival to the sending of the head.
 	events    int
 	headDelay time.Duration
+	// run observes the present attempt.
+	run *quarantiner.Run
 	// fallback is an upstream's error response, for the caller if no attempt gets a better one.
 	fallback *failedResponse
 	// stopTimeout stops the timer that limits the wait for the beginning of a response; nil if
@@ -63,6 +66,7 @@
 				watch.recordProgress()
 				reservation.RecordFirstToken()
 				reservation.RecordReceived()
+				s.run.RecordProgress()
 			}
 			if err := f.forwardEvents(r, sink, s, call, events); err != nil {
 				return err
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -62,7 +62,11 @@
 func (t *trace) refuse(sink Sink, x *Refusal) {
 	t.f.Metrics.refused.WithLabelValues(x.Cause).Inc()
 	confirmationAge, _ := t.f.ConfirmationAge()
-	t.withFields(t.f.Log.Info()).Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.RetryAfter).
+	e := t.withFields(t.f.Log.Info())
+	if x.Part != "" {
+		e = e.Str("part", x.Part)
+	}
+	e.Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.RetryAfter).
 		Dur("certainty", confirmationAge).Float64("tokens", t.r.chargedTokens).Bool("unsure", t.r.mayHaveRun).Msg("refused")
 	sink.Refuse(x)
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -295,16 +295,33 @@
 		}
 		_ = c.Conn.Close()
 	}
+	c, err = p.dial(ctx, address)
+	return c, false, err
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAlive: -1}
 	n, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
 	source := &boundedReader{r: n}
-	return &conn{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, false, nil
+	return &conn{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, nil
+}
+
+// Refused reports whether an address refuses connections, which means that no process listens there.
+// A connection that is accepted becomes an idle one.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	c.idleTimeout = maxIdleTimeout
+	p.pushIdle(c)
+	return false
 }
 
 func (p *Pool) popIdle(address string) *conn {
--- /dev/null
+++ b/internal/quarantiner/doc.go
@@ -0,0 +1,26 @@
+// Package quarantiner finds parts of prompts that crash upstreams, and names the requests that must
+// not be sent because they have such a part.
+//
+// An entry host's Observer relates the unannounced end of an upstream to the requests that it had
+// just begun to answer, or was about to: their parts are suspects. A part that an upstream survives
+// is cleared. Control hosts collect these findings in an Evidence, whose leader decides. A part is
+// quarantined after several ends, at intervals, that no upstream survived in between, if no other
+// part explains them. Upstreams that end together for another cause thus accuse no part.
+//
+// The decisions stand in a Register on each host. Registers are merged in both directions, so a
+// decision survives the loss of the leader and restarts. Everything is bounded in size and time.
+//
+// The package sends nothing itself and does not know what a request is.
+package quarantiner
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PartKey returns the hash by which hosts name the part of a prompt.
+func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+
+// AppendKey appends a part's hash to b, most significant byte first.
+func AppendKey(b []byte, part uint64) []byte { return binary.BigEndian.AppendUint64(b, part) }
--- /dev/null
+++ b/internal/quarantiner/evidence.go
@@ -0,0 +1,313 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// Time for which ends of upstreams and survivals are kept.
+	evidenceTime = 2 * time.Minute
+	// Number of ends, none of which an upstream survived, after which a part is quarantined, and the
+	// interval from one that counts to the next. Upstreams that end together may have a common cause
+	// that is none of the requests there; a part that was tried again and crashed again has not.
+	requiredEnds = 3
+	endInterval  = time.Second
+	// Time for which the last end that counts waits for reports of survivals.
+	settleTime = time.Second
+	// Bounds of what is kept: ends, parts of one end, and survivals.
+	maxEnds       = 256
+	maxEndParts   = 512
+	maxSurvivals  = 1024
+	maxSuspects   = 64
+	maxEndAge     = evidenceTime / 2
+	maxNameLength = 256
+)
+
+// Evidence holds what hosts observed of upstreams that ended. Set Now before use. It is safe for
+// concurrent use.
+type Evidence struct {
+	// Now returns the time on a clock that also runs while the host is suspended.
+	Now func() time.Duration
+
+	mu        sync.Mutex
+	revision  uint64              // rises with each change; guarded by mu
+	ends      map[endKey]*end     // guarded by mu
+	survivals map[uint64]survival // last survival, by part; guarded by mu
+	suspects  []uint64            // sorted; guarded by mu
+}
+
+type endKey struct {
+	upstream    string
+	incarnation uint64
+}
+
+// end is the end of one process of an upstream.
+type end struct {
+	at       time.Duration // as first reported
+	parts    map[uint64]bool
+	revision uint64
+}
+
+type survival struct {
+	at       time.Duration
+	revision uint64
+}
+
+// Store adds the findings of another host. It returns the ends that were not known.
+func (e *Evidence) Store(f *schema.Findings) []*schema.UpstreamEnd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	var unknown []*schema.UpstreamEnd
+	for _, m := range f.GetEnds() {
+		age := seconds(m.Age)
+		if age < 0 || age > maxEndAge || len(m.Upstream) > maxNameLength {
+			continue
+		}
+		if e.storeEnd(m, now-age) {
+			unknown = append(unknown, m)
+		}
+	}
+	for _, m := range f.GetSurvivals() {
+		if age := seconds(m.Age); age >= 0 && age <= evidenceTime {
+			e.storeSurvival(m.Part, now-age)
+		}
+	}
+	return unknown
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// storeEnd merges one end and reports whether it was not known. The caller holds mu.
+func (e *Evidence) storeEnd(m *schema.UpstreamEnd, at time.Duration) bool {
+	if e.ends == nil {
+		e.ends = map[endKey]*end{}
+	}
+	k := endKey{m.Upstream, m.Incarnation}
+	x, known := e.ends[k]
+	if !known {
+		x = &end{at: at, parts: map[uint64]bool{}}
+		e.ends[k] = x
+	}
+	changed := !known || at < x.at-endInterval
+	x.at = min(x.at, at)
+	for _, p := range m.Parts {
+		if !x.parts[p] && len(x.parts) < maxEndParts {
+			x.parts[p] = true
+			changed = true
+		}
+	}
+	if changed {
+		e.revision++
+		x.revision = e.revision
+	}
+	if len(e.ends) > maxEnds {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(e.ends)), func(a, b endKey) int { return cmp.Compare(e.ends[a].at, e.ends[b].at) })
+		delete(e.ends, oldest)
+	}
+	return !known
+}
+
+// storeSurvival keeps the last survival of a part. Reports of the same one differ by the time that
+// they were under way. The caller holds mu.
+func (e *Evidence) storeSurvival(part uint64, at time.Duration) {
+	if e.survivals == nil {
+		e.survivals = map[uint64]survival{}
+	}
+	x, known := e.survivals[part]
+	if known && at < x.at+endInterval/2 || !known && len(e.survivals) >= maxSurvivals {
+		return
+	}
+	e.revision++
+	e.survivals[part] = survival{at: at, revision: e.revision}
+}
+
+// Since returns the ends and survivals that changed after a revision, and the present revision.
+func (e *Evidence) Since(revision uint64) (*schema.Findings, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	e.expire(now)
+	f := &schema.Findings{}
+	for k, x := range e.ends {
+		if x.revision > revision {
+			m := &schema.UpstreamEnd{Upstream: k.upstream, Incarnation: k.incarnation, Age: (now - x.at).Seconds(), Parts: slices.Sorted(maps.Keys(x.parts))}
+			f.Ends = append(f.Ends, m)
+		}
+	}
+	slices.SortFunc(f.Ends, func(a, b *schema.UpstreamEnd) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	for _, p := range slices.Sorted(maps.Keys(e.survivals)) {
+		if x := e.survivals[p]; x.revision > revision {
+			f.Survivals = append(f.Survivals, &schema.Survival{Part: p, Age: (now - x.at).Seconds()})
+		}
+	}
+	return f, e.revision
+}
+
+// expire deletes what is older than evidenceTime. The caller holds mu.
+func (e *Evidence) expire(now time.Duration) {
+	maps.DeleteFunc(e.ends, func(_ endKey, x *end) bool { return now-x.at > evidenceTime })
+	maps.DeleteFunc(e.survivals, func(_ uint64, x survival) bool { return now-x.at > evidenceTime })
+}
+
+// Suspects returns the parts whose survivals hosts are asked for.
+func (e *Evidence) Suspects() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.suspects
+}
+
+// SetSuspects replaces the suspects by those of the leader.
+func (e *Evidence) SetSuspects(parts []uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspects = parts
+}
+
+// Decision is a change of a part's quarantine.
+type Decision struct {
+	Part uint64
+	// Released is set if the quarantine was ended before its time, else the part was quarantined.
+	Released bool
+	// Ends is the number of upstreams that ended under the part.
+	Ends int
+}
+
+// Decide quarantines and releases parts in g by the present evidence, and chooses the suspects. Only
+// the leader calls it.
+func (e *Evidence) Decide(g *Register) []Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	e.expire(now)
+	accused := e.accused()
+	guilty := e.guilty(accused, g, now)
+	var decisions []Decision
+	for _, part := range guilty {
+		if x, _ := g.lookup(part); !x.quarantined(now) {
+			g.decide(part, false)
+			decisions = append(decisions, Decision{Part: part, Ends: len(accused[part])})
+		}
+	}
+	for _, part := range g.Quarantined() {
+		x, _ := g.lookup(part)
+		explained := sufficient(accused[part], g, part, now) && !slices.Contains(guilty, part)
+		if s, ok := e.survivals[part]; explained || ok && s.at > x.decidedAt {
+			g.decide(part, true)
+			decisions = append(decisions, Decision{Part: part, Released: true, Ends: len(accused[part])})
+		}
+	}
+	e.chooseSuspects(accused, g)
+	return decisions
+}
+
+// accused returns the ends after the last survival of each part, in order. The caller holds mu.
+func (e *Evidence) accused() map[uint64][]*end {
+	all := map[uint64][]*end{}
+	for _, x := range e.ends {
+		for part := range x.parts {
+			if s, ok := e.survivals[part]; !ok || x.at > s.at {
+				all[part] = append(all[part], x)
+			}
+		}
+	}
+	for _, ends := range all {
+		slices.SortFunc(ends, func(a, b *end) int { return cmp.Compare(a.at, b.at) })
+	}
+	return all
+}
+
+// spaced returns the times of the ends that count: each is endInterval or more after the one before.
+func spaced(ends []*end) []time.Duration {
+	var times []time.Duration
+	for _, x := range ends {
+		if n := len(times); n == 0 || x.at-times[n-1] >= endInterval {
+			times = append(times, x.at)
+		}
+	}
+	return times
+}
+
+// guilty returns the parts for which the evidence suffices: first the one that explains most ends,
+// then the one that explains most of the rest, and so on. Parts that only occurred beside a guilty one
+// are not among them. The caller holds mu.
+func (e *Evidence) guilty(accused map[uint64][]*end, g *Register, now time.Duration) []uint64 {
+	var parts []uint64
+	explained := map[*end]bool{}
+	remaining := maps.Clone(accused)
+	for {
+		best, bestScore := uint64(0), 0
+		for part, ends := range remaining {
+			ends = slices.DeleteFunc(slices.Clone(ends), func(x *end) bool { return explained[x] })
+			remaining[part] = ends
+			if !sufficient(ends, g, part, now) {
+				continue
+			}
+			if score := len(ends); score > bestScore || score == bestScore && preferred(g, part, best, now) {
+				best, bestScore = part, score
+			}
+		}
+		if bestScore == 0 {
+			return parts
+		}
+		parts = append(parts, best)
+		for _, x := range remaining[best] {
+			explained[x] = true
+		}
+	}
+}
+
+// preferred reports whether of two parts with the same evidence a is to be quarantined: one that is
+// already.
+func preferred(g *Register, a, b uint64, now time.Duration) bool {
+	x, _ := g.lookup(a)
+	y, _ := g.lookup(b)
+	if x.quarantined(now) != y.quarantined(now) {
+		return x.quarantined(now)
+	}
+	return a > b
+}
+
+// sufficient reports whether ends suffice to quarantine a part.
+func sufficient(ends []*end, g *Register, part uint64, now time.Duration) bool {
+	required := requiredEnds
+	if x, known := g.lookup(part); known && !x.released && !x.quarantined(now) {
+		required = 1 // on probation
+	}
+	times := spaced(ends)
+	return len(times) >= required && now-times[required-1] >= settleTime
+}
+
+// chooseSuspects chooses the accused parts that are not quarantined, those with most ends first. The
+// caller holds mu.
+func (e *Evidence) chooseSuspects(accused map[uint64][]*end, g *Register) {
+	now := e.Now()
+	parts := slices.DeleteFunc(slices.Collect(maps.Keys(accused)), func(part uint64) bool {
+		x, _ := g.lookup(part)
+		return x.quarantined(now)
+	})
+	slices.SortFunc(parts, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(len(accused[b]), len(accused[a])), cmp.Compare(a, b))
+	})
+	e.suspects = slices.Sorted(slices.Values(parts[:min(len(parts), maxSuspects)]))
+}
+
+// Reply stores the findings of a host that reports to this one, merges its register, and returns
+// what it needs to know, with the ends that were not known and the parts whose quarantine changed.
+func Reply(request *schema.Findings, e *Evidence, g *Register) (reply *schema.Findings, ends []*schema.UpstreamEnd, changed []uint64) {
+	ends = e.Store(request)
+	changed = g.Merge(request.GetQuarantined())
+	reply = &schema.Findings{Suspects: e.Suspects(), Hash: g.Hash()}
+	if reply.Hash != request.GetHash() {
+		reply.Quarantined = g.List()
+	}
+	return reply, ends, changed
+}
--- /dev/null
+++ b/internal/quarantiner/register.go
@@ -0,0 +1,167 @@
+package quarantiner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+const (
+	// QuarantineTime is how long requests with a quarantined part are refused. A crash is usually
+	// mended by another version of the upstream, which the part must then be tried at.
+	QuarantineTime = time.Hour
+	// Time after the end of a quarantine for which the part is remembered: a single end then
+	// suffices to quarantine it again.
+	probationTime = 24 * time.Hour
+	// Maximum number of entries, those on probation included.
+	maxEntries = 512
+)
+
+// Register holds the decisions about parts. Set Now before use. It is safe for concurrent use.
+type Register struct {
+	// Now returns the time on a clock that also runs while the host is suspended.
+	Now func() time.Duration
+
+	active  atomic.Int64 // number of entries; keeps Find cheap while there are none
+	mu      sync.Mutex
+	entries map[uint64]entry // by part; guarded by mu
+}
+
+// entry is the last decision about a part.
+type entry struct {
+	number    uint32 // of the decision
+	released  bool
+	decidedAt time.Duration // when this host made the decision or received it
+	until     time.Duration // end of the quarantine
+}
+
+func (x entry) quarantined(now time.Duration) bool { return !x.released && now < x.until }
+
+// Find reports whether a part is quarantined, and returns the time until its quarantine ends.
+func (g *Register) Find(part uint64) (left time.Duration, found bool) {
+	if g.active.Load() == 0 {
+		return 0, false
+	}
+	x, known := g.lookup(part)
+	now := g.Now()
+	return x.until - now, known && x.quarantined(now)
+}
+
+// Quarantined returns the parts in quarantine, sorted.
+func (g *Register) Quarantined() []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	var all []uint64
+	for part, x := range g.entries {
+		if x.quarantined(now) {
+			all = append(all, part)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// lookup returns the last decision about a part.
+func (g *Register) lookup(part uint64) (entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x, ok := g.entries[part]
+	return x, ok
+}
+
+// decide records a decision of this host.
+func (g *Register) decide(part uint64, release bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	x := entry{number: g.entries[part].number + 1, released: release, decidedAt: now, until: now + QuarantineTime}
+	if release {
+		x.until = now
+	}
+	g.store(part, x)
+}
+
+// store keeps an entry. Beyond maxEntries it deletes the one that ends first. The caller holds mu.
+func (g *Register) store(part uint64, x entry) {
+	if g.entries == nil {
+		g.entries = map[uint64]entry{}
+	}
+	g.entries[part] = x
+	if len(g.entries) > maxEntries {
+		first := slices.MinFunc(slices.Collect(maps.Keys(g.entries)), func(a, b uint64) int {
+			return cmp.Or(cmp.Compare(g.entries[a].until, g.entries[b].until), cmp.Compare(a, b))
+		})
+		delete(g.entries, first)
+	}
+	g.active.Store(int64(len(g.entries)))
+}
+
+// Merge adds another host's entries and returns the parts whose quarantine this changed. Of two
+// decisions about a part the one with the higher number holds.
+func (g *Register) Merge(list []*schema.QuarantinedPart) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	var changed []uint64
+	for _, m := range list {
+		until := now + time.Duration(min(m.Left, QuarantineTime.Seconds())*float64(time.Second))
+		old, known := g.entries[m.Part]
+		if now-until > probationTime || known && old.number >= m.Number {
+			continue
+		}
+		x := entry{number: m.Number, released: m.Released, decidedAt: now, until: until}
+		g.store(m.Part, x)
+		if x.quarantined(now) != old.quarantined(now) {
+			changed = append(changed, m.Part)
+		}
+	}
+	return changed
+}
+
+// List returns all entries, sorted by part.
+func (g *Register) List() []*schema.QuarantinedPart {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	var list []*schema.QuarantinedPart
+	for _, part := range g.sortedParts(now) {
+		x := g.entries[part]
+		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds()})
+	}
+	return list
+}
+
+// Hash returns a hash over all entries; 0 if there are none.
+func (g *Register) Hash() uint64 {
+	if g.active.Load() == 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var b []byte
+	for _, part := range g.sortedParts(g.Now()) {
+		b = binary.LittleEndian.AppendUint64(b, part)
+		b = binary.LittleEndian.AppendUint32(b, g.entries[part].number)
+	}
+	if len(b) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
+
+// sortedParts deletes the entries whose probation has ended and returns the others' parts, sorted.
+// The caller holds mu.
+func (g *Register) sortedParts(now time.Duration) []uint64 {
+	maps.DeleteFunc(g.entries, func(_ uint64, x entry) bool { return now-x.until > probationTime })
+	g.active.Store(int64(len(g.entries)))
+	return slices.Sorted(maps.Keys(g.entries))
+}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -46,6 +47,8 @@
 	Distributor *distributor.Distributor
 	Table       *cataloger.Table
 	Bucket      *allocator.Bucket
+	// Findings exchanges what is known of parts of prompts that crash upstreams. Nil: nothing is.
+	Findings *quarantiner.Link
 	// IsBusy reports whether this host handles so many requests that other hosts need its load
 	// more often. Nil: never.
 	IsBusy func() bool
@@ -167,6 +170,9 @@
 	r.Bucket.Report(nil) // updates the averages of demand, by which the Bucket borrows ahead
 	current := r.Distributor.Current()
 	request := &schema.RefreshRequest{Self: self, Version: current.Version, Hash: current.Hash, Cursor: r.cursor, Process: r.cursorProcess}
+	if r.Findings != nil {
+		request.Findings = r.Findings.Request(r.cursorProcess)
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return schema.NewClusterServiceClient(conn).Refresh(ctx, request)
@@ -241,6 +247,13 @@
 				Float64("age", p.Age).Bool("ready", p.Ready).Str("control", r.controlAddress).Msg("host learned")
 		}
 	}
+	if r.Findings != nil {
+		for _, part := range r.Findings.Apply(reply.Findings, reply.Process) {
+			left, quarantined := r.Findings.Register.Find(part)
+			r.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Bool("quarantined", quarantined).Dur("left", left).
+				Str("control", r.controlAddress).Msg("quarantine learned")
+		}
+	}
 	r.cursor, r.cursorProcess = reply.Cursor, reply.Process
 	if r.OnLoads != nil {
 		r.OnLoads(reply.Loads, reply.Digests)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -125,8 +125,9 @@
 // Reservation is the reservation of a slot at an upstream for one request. Release must be called
 // exactly once.
 type Reservation struct {
-	// Name and Address identify the upstream.
+	// Name, Address and Incarnation identify the upstream's process.
 	Name, Address string
+	Incarnation   uint64
 	// ExpectedDelay is the predicted delay from the reservation to the first token.
 	ExpectedDelay time.Duration
 	// CachedTokens is the number of prompt tokens that the upstream is assumed to have cached.
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -71,6 +72,7 @@
 		FirstStart: c.FirstStart, MinVoters: 2*c.MaxLostDisks + 1, SeedAddresses: c.Seeds, Table: table,
 		Allocator: &allocator.Allocator{Now: clock.Now, Limits: limits},
 		Bucket:    &allocator.Bucket{Now: clock.Now, Limits: limits, SlackTokens: c.SlackTokens},
+		Evidence:  &quarantiner.Evidence{Now: clock.Now}, Quarantine: &quarantiner.Register{Now: clock.Now},
 	}
 }
 
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -20,6 +20,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/forwarder"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/refresher"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -91,10 +92,15 @@
 	}}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, HostCount: e.readyHostCount}
 	e.pool = &pooler.Pool{Timer: e.Timer}
+	quarantine := &quarantiner.Register{Now: e.Timer.Now}
+	observer := &quarantiner.Observer{
+		Timer: e.Timer, Log: e.Log, Refused: e.pool.Refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
+	}
 	e.refresher = &refresher.Refresher{
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, SeedAddresses: e.Seeds, SelfReport: e.ownState,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, OnLoads: e.applyLoads,
-		IsBusy: func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
+		Findings: &quarantiner.Link{Source: observer, Register: quarantine},
+		IsBusy:   func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
 	}
 	e.refresher.Init()
 	e.RetryBudget.Now = e.Timer.Now
@@ -103,6 +109,7 @@
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(),
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.Table.ReadyHosts, Borrow: e.refresher.Borrow,
+		Observer: observer, Quarantine: quarantine,
 	}
 }
 
@@ -270,6 +277,22 @@
 // readyHostCount returns how many entry hosts share the upstreams of this region.
 func (e *Entry) readyHostCount() int { return len(e.Table.ReadyHosts(e.Settings.Region)) }
 
+// processState returns what the table knows of an upstream's process.
+func (e *Entry) processState(u quarantiner.Upstream) quarantiner.State {
+	a := e.Table.Upstream(u.Name)
+	switch {
+	case a == nil:
+		return quarantiner.Running
+	case a.Incarnation > u.Incarnation:
+		return quarantiner.Ended
+	case a.Leaving:
+		return quarantiner.Leaving
+	case a.Gone:
+		return quarantiner.Ended // another upstream has its address
+	}
+	return quarantiner.Running
+}
+
 func (e *Entry) pruneConnections() {
 	liveAddresses := map[string]bool{}
 	for _, a := range e.Table.Upstreams() {
