Decide on quarantines only while there is something to decide, and wait for late survivals

The leader went through all ends five times a second for two minutes after the last one; now it stops 10 s after the last change. A survival that is reported by way of a control host of another region takes up to 0.95 s, so the last end waits 1.5 s for it instead of 1 s.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -18,8 +18,11 @@
 	// that is none of the requests there; a part that was tried again and crashed again has not.
 	requiredEnds = 3
 	endInterval  = time.Second
-	// Time for which the last end that counts waits for reports of survivals.
-	settleTime = time.Second
+	// Time for which the last end that counts waits for reports of survivals: an entry host's interval
+	// of reports, a control host's, and a round trip between regions, with a margin.
+	settleTime = 1500 * time.Millisecond
+	// Time after the last change of the evidence for which decisions are made: nothing changes later.
+	decideTime = 10 * time.Second
 	// Bounds of what is kept: ends, parts of one end, and survivals.
 	maxEnds       = 256
 	maxEndParts   = 512
@@ -37,6 +40,8 @@
 
 	mu        sync.Mutex
 	revision  uint64              // rises with each change; guarded by mu
+	decided   uint64              // revision at the last call of Decide that found a change; guarded by mu
+	changedAt time.Duration       // time of that call; guarded by mu
 	ends      map[endKey]*end     // guarded by mu
 	survivals map[uint64]survival // last survival, by part; guarded by mu
 	suspects  []uint64            // sorted; guarded by mu
@@ -188,6 +193,16 @@
 	defer e.mu.Unlock()
 	now := e.Now()
 	e.expire(now)
+	if e.revision != e.decided {
+		e.decided, e.changedAt = e.revision, now
+	}
+	if len(e.ends) == 0 {
+		e.suspects = nil
+		return nil
+	}
+	if now-e.changedAt > decideTime {
+		return nil
+	}
 	accused := e.accused()
 	guilty := e.guilty(accused, g, now)
 	var decisions []Decision
