Tell entry hosts the load of their own region, whichever control host they use

Callers of one region were refused with 'no upstream may be used' while another region had upstreams, for as long as their entry host reported to that region's control host. Cause: control hosts passed on what the leader told them for their own region. Why the fix works: the leader replies for each region whose entry hosts report to the sender, and with all digests.

--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -104,10 +104,10 @@
 	}
 }
 
-// LoadsFor returns the load of the other entry hosts of a host's region. fromLeader is the load of
-// the hosts that report to other control hosts, as received from the leader; nil on the leader.
+// LoadsFor returns the load of the other entry hosts of a host's region. fromLeader is the load of the
+// region's hosts that report to other control hosts, as received from the leader; nil on the leader.
 // The result may be as old as loadCacheDuration.
-func (t *Table) LoadsFor(host *schema.Peer, fromLeader *schema.ConsultReply) []*schema.PoolLoad {
+func (t *Table) LoadsFor(host *schema.Peer, fromLeader *schema.RegionLoad) []*schema.PoolLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
--- a/internal/cataloger/load_test.go
+++ b/internal/cataloger/load_test.go
@@ -32,7 +32,7 @@
 		x.StoreHost(loadReport(fmt.Sprint("h", i), region, 1, 1<<i), "")
 	}
 	leader.StoreLoads("follower", follower.DirectLoads())
-	toFollower := &schema.ConsultReply{Loads: leader.Loads("r", "follower")}
+	toFollower := &schema.RegionLoad{Region: "r", Loads: leader.Loads("r", "follower")}
 	want := func(n int32) []*schema.PoolLoad { return loadReport("", "", 0, n).Loads }
 	for i, x := range tables[:6] {
 		fromLeader := toFollower
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -65,8 +65,7 @@
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, "")
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
 	reply.Cursor, reply.Process = changes.Cursor, changes.Process
-	reply.Loads = k.Table.Loads(r.Region, r.Address)
-	reply.Digests = k.Table.Digests(r.Region)
+	consultLoads(k.Table, r, reply)
 	reply.Findings = k.storeFindings(r.Findings, r.Address)
 	return reply, nil
 }
@@ -142,22 +141,3 @@
 		}
 	}
 }
-
-// fillLoads adds the load that other hosts put on upstreams.
-func (k *Cluster) fillLoads(self *schema.Peer, reply *schema.RefreshReply) {
-	now := k.c.Timer.Now()
-	if k.c.view.Load().holdsLease(now) {
-		reply.Loads = k.Table.LoadsFor(self, nil)
-		reply.Digests = k.Table.Digests(self.Region)
-		return
-	}
-	k.mu.Lock()
-	lastReply, lastReplyRequestedAt := k.lastReply, k.lastReplyRequestedAt
-	k.mu.Unlock()
-	if lastReply != nil && now-lastReplyRequestedAt < maxReplyAge {
-		reply.Loads = k.Table.LoadsFor(self, lastReply)
-		reply.Digests = lastReply.Digests
-		return
-	}
-	reply.Loads = k.Table.LoadsFor(self, nil)
-}
