--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -9,7 +9,9 @@
 //	route         serve here, or relay to another region
 //	offload       choose the region of a stream by shared prefix and load
 //	monitor       detect regions that do not respond
+//	quarantine    refuse it if a part of its prompt crashes upstreams
 //	attempt       send it to an upstream, and perhaps retry at another
+//	limit         keep the limit that the upstream names in its response
 //	budget        limit retries
 //	stream        forward events as they arrive, and resume at another upstream
 //	relay         serve through an entry host of another region
--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -11,5 +11,6 @@
 // at once if the expected wait is too long.
 //
 // A cold upstream, one whose warm-up time is not over, receives requests from a single host,
-// its owner, at a bounded rate.
+// its owner, at a bounded rate. The limit that an upstream names in its answers is divided among
+// so few hosts that the sum over all hosts keeps to it.
 package scheduler
