Do not count the stall of an idle connection against its upstream

Callers of the older interface could get 502 upstream_failed though the upstream was well: their request took a connection that had died while idle, stalled, and then a new one that stalled too, so the region's only engine was excluded. Cause: the first stall counted against the upstream although the connection was an old one. Evidence: the failures of TestSilentUpstreamConnections are in the part that follows one which leaves such connections; TestStallsOnIdleAndNewConnection does the same with one request and failed before (attempts 0 and 1 stalled, then 'no upstream for the attempt'). Why the fix works: net/http says whether a connection was reused, and only new ones count.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -30,6 +30,9 @@
 	ErrNotSent = errors.New("requester: request did not reach the upstream")
 	// ErrStalled reports that nothing arrived from the upstream within the timeout.
 	ErrStalled = errors.New("requester: upstream connection is unresponsive")
+	// ErrIdleStalled is an ErrStalled before the response on a connection that had been idle: it may
+	// have died then, so it says nothing of the upstream.
+	ErrIdleStalled = fmt.Errorf("%w since it was idle", ErrStalled)
 	// ErrWrongRequest reports that the response belongs to another request.
 	ErrWrongRequest = errors.New("requester: response belongs to another request")
 	// ErrIncomplete reports that the response is truncated or otherwise incomplete.
@@ -156,8 +159,11 @@
 func (c *Requester) Send(r *http.Request, headerTimeout time.Duration, newConnection bool) (*Answer, error) {
 	ctx, cancel := context.WithCancel(r.Context())
 	watchdog := c.startWatchdog(cancel, headerTimeout)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(i.Reused)
+	}}
 	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	var t http.RoundTripper = c.transport(r.URL.Host)
 	if newConnection {
@@ -170,15 +176,17 @@
 	}
 	watchdog.stop()
 	cancel()
-	return nil, classify(err, watchdog.stalled.Load(), connected.Load())
+	return nil, classify(err, watchdog.stalled.Load(), connected.Load(), reused.Load())
 }
 
-func classify(err error, stalled, connected bool) error {
+func classify(err error, stalled, connected, reused bool) error {
 	switch {
 	case !connected && stalled:
 		return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrStalled, err)
 	case !connected:
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	case stalled && reused:
+		return fmt.Errorf("%w: %w", ErrIdleStalled, err)
 	case stalled:
 		return fmt.Errorf("%w: %w", ErrStalled, err)
 	}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -39,29 +39,34 @@
 // upstreams.
 type attemptHistory struct {
 	excluded map[string]bool
-	// stalled holds the upstreams with a connection that stalled and no progress since.
-	stalled map[string]bool
+	// stalled holds the upstreams with a new connection that stalled and no progress since, renew those
+	// at which any connection did.
+	stalled, renew map[string]bool
 	// withoutProgress counts the attempts since the last one that made progress.
 	withoutProgress int
 }
 
 func newAttemptHistory() *attemptHistory {
-	return &attemptHistory{excluded: map[string]bool{}, stalled: map[string]bool{}}
+	return &attemptHistory{excluded: map[string]bool{}, stalled: map[string]bool{}, renew: map[string]bool{}}
 }
 
 // record stores the outcome of an attempt. It reports whether the upstream may be attempted again
-// on a new connection: the first stall is attributed to the connection, not to the upstream.
+// on a new connection: a stall of one that had been idle, and the first of a new one, are attributed to
+// the connection, not to the upstream.
 func (h *attemptHistory) record(name string, err error, progressed bool) (reconnect bool) {
 	h.withoutProgress++
 	if progressed {
 		h.withoutProgress = 0
 		delete(h.stalled, name)
+		delete(h.renew, name)
 	}
 	if err == nil {
 		return false
 	}
-	if errors.Is(err, requester.ErrStalled) && !h.stalled[name] {
-		h.stalled[name] = true
+	idle := errors.Is(err, requester.ErrIdleStalled)
+	if idle || errors.Is(err, requester.ErrStalled) && !h.stalled[name] {
+		h.stalled[name] = h.stalled[name] || !idle
+		h.renew[name] = true
 		return true
 	}
 	h.excluded[name] = true
@@ -71,7 +76,7 @@
 // needsNewConnection reports whether the next attempt at an upstream needs a new connection:
 // those that were idle when one stalled may be dead too, and may be reused before they are
 // closed.
-func (h *attemptHistory) needsNewConnection(name string) bool { return h.stalled[name] }
+func (h *attemptHistory) needsNewConnection(name string) bool { return h.renew[name] }
 
 // runAttempts runs a request on one upstream after another until one returns the whole answer.
 // Completions may be repeated; a stream is resumed after the tokens already delivered.
--- a/internal/server/attempt_test.go
+++ b/internal/server/attempt_test.go
@@ -21,6 +21,13 @@
 		t.Error("after a stall, want a new connection for that upstream and for no other")
 	}
 	history.record("e", nil, true)
+	if !history.record("e", requester.ErrIdleStalled, false) || !history.record("e", requester.ErrStalled, false) {
+		t.Error("a stall of a new connection after one of an idle one excludes the upstream, want another attempt")
+	}
+	if history.record("e", requester.ErrStalled, false) {
+		t.Error("the second stall of a new connection does not exclude the upstream")
+	}
+	history.record("e", nil, true)
 	if history.needsNewConnection("e") {
 		t.Error("a new connection is needed although an attempt has made progress since the stall")
 	}
--- a/test/unresponsive_test.go
+++ b/test/unresponsive_test.go
@@ -16,20 +16,8 @@
 // connections work; every caller must get the whole answer.
 func TestSilentUpstreamConnections(t *testing.T) {
 	s := newSystem(t)
-	s.stopAnnouncing["engine-lothian"]()
 	engine := &faker.Engine{Name: "behind-relay", Slots: 64, TokenInterval: 30 * time.Millisecond}
-	proxy := &disrupter.Proxy{TargetAddress: s.address("lothian", 12)}
-	s.addEngine("lothian", engine, 12)
-	address, err := proxy.Listen(s.address("lothian", 13))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(proxy.Close)
-	s.announceAt(engine, address)
-	s.applySheet()
-	key := s.issueKey("st-giles")
-	host := s.address("lothian", 0)
-	s.waitUntilServing(host, key)
+	proxy, host, key := s.startBehindProxy(engine)
 	for _, direction := range []disrupter.Direction{disrupter.BothDirections, disrupter.ToTarget, disrupter.FromTarget} {
 		var wg sync.WaitGroup
 		for i := range 10 {
@@ -49,6 +37,47 @@
 	}
 }
 
+// TestStallsOnIdleAndNewConnection guards against failing a request whose first connection had died while
+// it was idle, which says nothing of the upstream, when the new connection stalls too.
+func TestStallsOnIdleAndNewConnection(t *testing.T) {
+	s := newSystem(t)
+	const firstTokenDelay = 700 * time.Millisecond
+	engine := &faker.Engine{Name: "behind-relay", Slots: 64, TokenInterval: 30 * time.Millisecond, FirstTokenDelay: firstTokenDelay, CachedFirstTokenDelay: firstTokenDelay}
+	proxy, host, key := s.startBehindProxy(engine)
+	ask := func(prompt string, drop disrupter.Direction) {
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			a := s.chat(host, key, prompt, true)
+			if text, complete := a.text(); !complete || text != expectedText(prompt) {
+				t.Errorf("%s: status %d, complete %v, error %v, text %q, end of body %s", prompt, a.status, complete, a.err, text, a.body[max(0, len(a.body)-200):])
+			}
+		})
+		s.eventually("the request runs", func() bool { return engine.Announcement().Running >= 1 })
+		proxy.DropData(drop)
+		wg.Wait()
+	}
+	ask("First? tokens:5", disrupter.ToTarget)    // answered; its connection is dead when it becomes idle
+	ask("Second? tokens:5", disrupter.FromTarget) // drops the new connection before the first token
+}
+
+// startBehindProxy makes engine, behind a proxy, the only one of its region. It returns the proxy, the
+// address of an entry host that serves, and a key.
+func (s *system) startBehindProxy(engine *faker.Engine) (proxy *disrupter.Proxy, host, key string) {
+	s.stopAnnouncing["engine-lothian"]()
+	proxy = &disrupter.Proxy{TargetAddress: s.address("lothian", 12)}
+	s.addEngine("lothian", engine, 12)
+	address, err := proxy.Listen(s.address("lothian", 13))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(proxy.Close)
+	s.announceAt(engine, address)
+	s.applySheet()
+	key, host = s.issueKey("st-giles"), s.address("lothian", 0)
+	s.waitUntilServing(host, key)
+	return proxy, host, key
+}
+
 // announceAt announces that an engine leaves, then announces it again at another address.
 func (s *system) announceAt(e *faker.Engine, address string) {
 	s.stopAnnouncing[e.Name]()
