--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -23,11 +23,12 @@
 	settleTime = 1500 * time.Millisecond
 	// Time after the last change of the evidence for which decisions are made: nothing changes later.
 	decideTime = 10 * time.Second
-	// Bounds of what is kept: ends, parts of one end, and survivals.
-	maxEnds       = 256
-	maxEndParts   = 512
-	maxSurvivals  = 1024
-	maxSuspects   = 64
+	// Bounds of what is kept: ends, parts of one end, parts with a survival, suspects.
+	maxEnds      = 256
+	maxEndParts  = 512
+	maxSurvivals = 1024
+	maxSuspects  = 64
+	// Bounds of a reported end: its age, and the length of the upstream's name in bytes.
 	maxEndAge     = evidenceTime / 2
 	maxNameLength = 256
 )
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -211,8 +211,8 @@
 	}
 }
 
-// TestRegistersConverge guards against a released part that comes back from a host that has not heard
-// of the release, and against a part that is forgotten while one host knows it.
+// TestRegistersConverge guards against a released part that comes back from a host that has not
+// received the release, and against a part that is forgotten while one host knows it.
 func TestRegistersConverge(t *testing.T) {
 	f := newFleet(1, 3, 6)
 	part := PartKey("p")
