Log which requests are the same

Placed requests and failed attempts now name a hash of path, customer and body, content. No decision changes.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -47,6 +47,7 @@
 	attempts      int                // upstreams that it was sent to, without misdirected attempts
 	reached       int                // upstreams that received it, also those that rejected it
 	keyedParts    []quarantiner.Part // parts that other requests may share; set by sharedParts
+	contentHash   uint64             // set by contentKey
 	mayHaveRun    bool
 }
 
@@ -85,6 +86,14 @@
 	return ids
 }
 
+// contentKey returns the key that all requests with the same path, customer and body have.
+func (r *Request) contentKey() uint64 {
+	if r.contentHash == 0 {
+		r.contentHash = quarantiner.RequestKey(r.Path, r.Customer(), r.Body)
+	}
+	return r.contentHash
+}
+
 // maxLoggedParts is the number of parts of a prompt that a log line names.
 const maxLoggedParts = 8
 
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -36,7 +37,7 @@
 	confirmationAge, _ := t.f.ConfirmationAge()
 	t.f.Metrics.slotWait.Observe(wait.Seconds())
 	t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Dur("waited", wait).
-		Dur("expected", reservation.ExpectedDelay).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
+		Dur("expected", reservation.ExpectedDelay).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
 		Bool("agreed", reservation.Preferred).Str("passed", string(reservation.PreferredSkipped)).
 		Dur("certainty", confirmationAge).Int("sent", t.r.attempts).Msg("placed")
 }
@@ -51,7 +52,7 @@
 		return
 	}
 	t.f.Metrics.attemptsFailed.WithLabelValues(t.r.pool).Inc()
-	t.withFields(t.f.Log.Warn()).Err(err).Str("upstream", reservation.Name).Str("last", s.lastEventID).Int("events", s.events).Bool("unsure", t.r.mayHaveRun).Msg("try failed")
+	t.withFields(t.f.Log.Warn()).Err(err).Str("upstream", reservation.Name).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Str("last", s.lastEventID).Int("events", s.events).Bool("unsure", t.r.mayHaveRun).Msg("try failed")
 }
 
 // logRelayed logs that the request is relayed to a host of another region.
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -24,3 +24,17 @@
 
 // AppendKey appends a part's hash to b, most significant byte first.
 func AppendKey(b []byte, part uint64) []byte { return binary.BigEndian.AppendUint64(b, part) }
+
+// requestBit is set in the keys of whole requests and not in those of parts of prompts.
+const requestBit = 1 << 63
+
+// RequestKey returns the hash by which hosts name a whole request: those with the same path, customer
+// and body are the same one, whatever their IDs and headers.
+func RequestKey(path, customer string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, field := range [][]byte{[]byte(path), []byte(customer), body} {
+		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field)))) // never fails
+		_, _ = d.Write(field)
+	}
+	return d.Sum64() | requestBit
+}
