Quarantine whole requests that crash upstreams

Cause: ends were related to parts of prompts only, which requests to plain services do not have, so each host sent the request that crashed an upstream to the next one, and so did each repeat. Class: a fault of the input taken for a fault of the server, as with parts; the remedy covered one form of input.

Ruled out: upstreams that just started and bear little (one ended with a single request), and all requests of the route or customer (four of them were answered).

Change: a request is named by a hash of path, customer and body, and observed, reported and judged in the same evidence and register as parts. What many callers send alike, such as an empty body, is cleared by each survival; a request that no upstream is known to have survived for two minutes needs three ends, a quarter of a second or more from first to last, as hardly any other is at three upstreams when they end. Of a request and parts with the same ends the request is quarantined. An error of an upstream no longer clears: it may come before the request ran.

Without a network TestHostsShareWhichRequestCrashesUpstreams holds the bound for 1 to 300 hosts, leaders that change and restarts, and TestUpstreamsEndUnderAlikeRequests refuses none of requests that are alike. TestLostAnswersAreObserved now expects the request itself beside the parts: one suspect more, none less.

--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -7,7 +7,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
-// decideInterval is the interval at which the leader decides which parts of prompts are quarantined.
+// decideInterval is the interval at which the leader decides which requests and parts of prompts are quarantined.
 const decideInterval = 200 * time.Millisecond
 
 // storeFindings stores the findings of a host that reports to this one, and returns the reply. A host
@@ -36,7 +36,7 @@
 		Str("from", from).Msg("quarantine learned")
 }
 
-// decideQuarantine quarantines and releases parts of prompts. Only the leader does.
+// decideQuarantine quarantines and releases requests and parts of prompts. Only the leader does.
 func (k *Cluster) decideQuarantine() {
 	if !k.c.view.Load().holdsLease(k.c.Timer.Now()) {
 		return
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -206,6 +206,8 @@
 		f.drain(call)
 		r.attempts--
 		return errMisdirected
+	case UpstreamError:
+		s.run = nil // the upstream goes on, but may have failed before it ran the request
 	case Invalid:
 		r.mayHaveRun = true
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -33,8 +33,8 @@
 	Pool      *pooler.Pool
 	Bucket    *allocator.Bucket
 	Budget    *RetryBudget
-	// Observer relates ends of upstreams to requests, and Quarantine names parts of prompts that
-	// crash upstreams. Both may be nil.
+	// Observer relates ends of upstreams to requests, and Quarantine names requests and parts of
+	// prompts that crash upstreams. Both may be nil.
 	Observer   *quarantiner.Observer
 	Quarantine *quarantiner.Register
 	Protocol   Protocol
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"net/http"
 
@@ -10,25 +11,32 @@
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
-// sharedParts returns the parts of the prompt that other requests may share: all but the last.
-func (r *Request) sharedParts() []quarantiner.Part {
-	if r.keyedParts == nil && len(r.Parts) > 1 {
-		for _, p := range r.Parts[:len(r.Parts)-1] {
+// quarantineParts returns what may be quarantined of the request: the request itself, and the parts of
+// the prompt that others may share, all but the last.
+func (r *Request) quarantineParts() []quarantiner.Part {
+	if r.keyedParts == nil {
+		key := r.contentKey()
+		r.keyedParts = append(r.keyedParts, quarantiner.Part{ID: hex.EncodeToString(quarantiner.AppendKey(nil, key)), Key: key})
+		for _, p := range r.Parts[:max(0, len(r.Parts)-1)] {
 			r.keyedParts = append(r.keyedParts, quarantiner.Part{ID: p.ID, Key: quarantiner.PartKey(p.ID)})
 		}
 	}
 	return r.keyedParts
 }
 
-// checkQuarantine returns a refusal if a part of the prompt is quarantined. It is called when a
-// request arrives and before each attempt.
+// checkQuarantine returns a refusal if the request or a part of its prompt is quarantined. It is called
+// when a request arrives and before each attempt.
 func (f *Forwarder) checkQuarantine(r *Request) error {
 	if f.Quarantine == nil {
 		return nil
 	}
-	for _, p := range r.sharedParts() {
+	for i, p := range r.quarantineParts() {
 		if left, found := f.Quarantine.Find(p.Key); found {
-			refusal := refuse(http.StatusServiceUnavailable, causeQuarantined, left)
+			cause := causePartQuarantined
+			if i == 0 {
+				cause = causeRequestQuarantined
+			}
+			refusal := refuse(http.StatusServiceUnavailable, cause, left)
 			refusal.Part = p.ID
 			return refusal
 		}
@@ -36,11 +44,11 @@
 	return nil
 }
 
-// isQuarantined reports whether err is a refusal for a quarantined part, also one by a host of another
-// region.
+// isQuarantined reports whether err is a refusal of a quarantined request, or for a part of its prompt,
+// also one by a host of another region.
 func isQuarantined(err error) bool {
 	var r *Refusal
-	return errors.As(err, &r) && r.Cause == causeQuarantined
+	return errors.As(err, &r) && (r.Cause == causeRequestQuarantined || r.Cause == causePartQuarantined)
 }
 
 // observe returns the observation of an attempt.
@@ -49,7 +57,7 @@
 		return nil
 	}
 	u := quarantiner.Upstream{Name: reservation.Name, Address: reservation.Address, Incarnation: reservation.Incarnation}
-	return f.Observer.Start(u, r.sharedParts())
+	return f.Observer.Start(u, r.quarantineParts())
 }
 
 // recordEnd records how an attempt that was sent ended.
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -25,6 +25,55 @@
 	return sink.result, sink.retryAfter
 }
 
+// callWithBody sends a request without a prompt.
+func (s *system) callWithBody(path, body string) result {
+	now := s.Timer.Now()
+	sink := &recorderSink{}
+	s.Serve(context.Background(), &Request{ID: "1", Host: "h", Method: "POST", Path: path, Header: http.Header{}, Body: []byte(body), ArrivedAt: now, DeadlineAt: now + 2*time.Second}, sink)
+	return sink.result
+}
+
+// TestQuarantinedRequest guards against sending a quarantined request to an upstream, and against
+// refusing others that have only its path, or only its body.
+func TestQuarantinedRequest(t *testing.T) {
+	s := newSystem(t, []scriptStep{text(200, "a")}, []scriptStep{text(200, "a")})
+	s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
+	s.Quarantine.Merge([]*schema.QuarantinedPart{{Part: quarantiner.RequestKey("/safe/x", "", []byte("bad")), Number: 1, Left: 60}})
+	if diff := cmp.Diff(result{Status: 503, Cause: causeRequestQuarantined}, s.callWithBody("/safe/x", "bad")); diff != "" {
+		t.Errorf("quarantined: -want +got\n%s", diff)
+	}
+	for _, sound := range [][2]string{{"/safe/x", ""}, {"/safe/x", "bad2"}, {"/safe/x?y=1", "bad"}, {"/safe/y", "bad"}} {
+		if diff := cmp.Diff(result{Status: 200, Body: "a", Finished: true}, s.callWithBody(sound[0], sound[1])); diff != "" {
+			t.Errorf("sound, path %s, body %q: -want +got\n%s", sound[0], sound[1], diff)
+		}
+	}
+}
+
+// TestSurvivalsOfRequests guards against clearing a request that crashes upstreams because one of them
+// failed before it ran it, or rejected it.
+func TestSurvivalsOfRequests(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step scriptStep
+		want bool
+	}{
+		{"answered", text(200, "a"), true},
+		{"refused by the upstream's own rules", text(404, "no"), true},
+		{"failed", text(500, "bad"), false},
+		{"rejected", text(503, "", "Not-Run", "1"), false},
+		{"lost", truncate(""), false},
+	} {
+		s := newSystem(t, []scriptStep{c.step})
+		s.Observer = &quarantiner.Observer{Timer: s.Timer, Log: zerolog.Nop(), Refused: func(context.Context, string) bool { return false },
+			State: func(quarantiner.Upstream) quarantiner.State { return quarantiner.Running }}
+		s.Observer.SetSuspects([]uint64{quarantiner.RequestKey("/safe/x", "", []byte("b"))})
+		s.callWithBody("/safe/x", "b")
+		if f, _ := s.Observer.Since(0); len(f.Survivals) > 0 != c.want {
+			t.Errorf("%s: survivals %v, want any: %v", c.name, f.Survivals, c.want)
+		}
+	}
+}
+
 // retrySink also records after what time a refused caller may return.
 type retrySink struct {
 	recorderSink
@@ -44,7 +93,7 @@
 	s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
 	s.Quarantine.Merge(quarantined)
 	got, retryAfter := s.callWithParts("/stream/x", "base", "bad", "own")
-	if diff := cmp.Diff(result{Status: 503, Cause: causeQuarantined}, got); diff != "" {
+	if diff := cmp.Diff(result{Status: 503, Cause: causePartQuarantined}, got); diff != "" {
 		t.Errorf("quarantined: -want +got\n%s", diff)
 	}
 	if retryAfter > time.Minute || retryAfter < 50*time.Second {
@@ -75,7 +124,7 @@
 		{Name: "u1", Address: s.upstream(t, "u1", []scriptStep{crash}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1},
 	})
 	got, _ := s.callWithParts("/resume/x", "base", "bad", "own")
-	if diff := cmp.Diff(result{Status: 502, Cause: causeQuarantined}, got); diff != "" {
+	if diff := cmp.Diff(result{Status: 502, Cause: causePartQuarantined}, got); diff != "" {
 		t.Errorf("-want +got\n%s", diff)
 	}
 	if n := len(s.allArrivals()); n != 1 {
@@ -119,7 +168,7 @@
 		}
 		<-ended
 		f, _ := s.Observer.Since(0)
-		want := []uint64{quarantiner.PartKey("base"), quarantiner.PartKey("p")}
+		want := []uint64{quarantiner.RequestKey("/stream/x", "", nil), quarantiner.PartKey("base"), quarantiner.PartKey("p")}
 		if len(f.Ends) != 1 || f.Ends[0].Incarnation != 1 || !cmp.Equal(want, f.Ends[0].Parts) {
 			t.Errorf("%s: got ends %v, want one of incarnation 1 under %v", c.name, f.Ends, want)
 		}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -46,7 +46,7 @@
 	relayed       bool               // by an entry host of another region
 	attempts      int                // upstreams that it was sent to, without misdirected attempts
 	reached       int                // upstreams that received it, also those that rejected it
-	keyedParts    []quarantiner.Part // parts that other requests may share; set by sharedParts
+	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
 	mayHaveRun    bool
 }
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -1,11 +1,14 @@
-// Package quarantiner finds parts of prompts that crash upstreams, and names the requests that must
-// not be sent because they have such a part.
+// Package quarantiner finds requests, and parts of prompts, that crash upstreams, and names the
+// requests that must not be sent because they are such a request or have such a part. Below, part
+// means either: a whole request is the part that only its repeats have in common.
 //
 // An entry host's Observer relates the unannounced end of an upstream to the requests that it had
 // just begun to answer, or was about to: their parts are suspects. A part that an upstream survives
 // is cleared. Control hosts collect these findings in an Evidence, whose leader decides. A part is
 // quarantined after several ends, at intervals, that no upstream survived in between, if no other
-// part explains them. Upstreams that end together for another cause thus accuse no part.
+// part explains them. Upstreams that end together for another cause thus accuse no part. A whole
+// request that no upstream is known to have survived needs a shorter interval: many requests share a
+// part of a prompt, but hardly one that was never answered is at three upstreams when they end.
 //
 // The decisions stand in a Register on each host. Registers are merged in both directions, so a
 // decision survives the loss of the leader and restarts. Everything is bounded in size and time.
@@ -20,7 +23,7 @@
 )
 
 // PartKey returns the hash by which hosts name the part of a prompt.
-func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+func PartKey(id string) uint64 { return xxhash.Sum64String(id) &^ requestBit }
 
 // AppendKey appends a part's hash to b, most significant byte first.
 func AppendKey(b []byte, part uint64) []byte { return binary.BigEndian.AppendUint64(b, part) }
@@ -38,3 +41,6 @@
 	}
 	return d.Sum64() | requestBit
 }
+
+// isRequest reports whether a key names a whole request.
+func isRequest(key uint64) bool { return key&requestBit != 0 }
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -18,9 +18,13 @@
 	// that is none of the requests there; a part that was tried again and crashed again has not.
 	requiredEnds = 3
 	endInterval  = time.Second
-	// Time for which the last end that counts waits for reports of survivals: an entry host's interval
-	// of reports, a control host's, and a round trip between regions, with a margin.
-	settleTime = 1500 * time.Millisecond
+	// Time for which the last end that counts waits for reports of survivals: two of an entry host's
+	// intervals of reports and two of a control host's, since a host must first be asked, and round
+	// trips between regions, with a margin.
+	settleTime = 2500 * time.Millisecond
+	// Interval between the first and the last of the ends that suffice for a whole request that no
+	// upstream is known to have survived: more than ends at one moment are apart.
+	minRequestSpan = 250 * time.Millisecond
 	// Time after the last change of the evidence for which decisions are made: nothing changes later.
 	decideTime = 10 * time.Second
 	// Bounds of what is kept: ends, parts of one end, parts with a survival, suspects.
@@ -215,7 +219,7 @@
 	}
 	for _, part := range g.Quarantined() {
 		x, _ := g.lookup(part)
-		explained := sufficient(accused[part], g, part, now) && !slices.Contains(guilty, part)
+		explained := e.sufficient(accused[part], g, part, now) && !slices.Contains(guilty, part)
 		if s, ok := e.survivals[part]; explained || ok && s.at > x.decidedAt {
 			g.decide(part, true)
 			decisions = append(decisions, Decision{Part: part, Released: true, Ends: len(accused[part])})
@@ -254,7 +258,8 @@
 
 // guilty returns the parts for which the evidence suffices: first the one that explains most ends,
 // then the one that explains most of the rest, and so on. Parts that only occurred beside a guilty one
-// are not among them. The caller holds mu.
+// are not among them, but whole requests that explain just the same ends are: which of them crashed the
+// upstreams is open until one more ends. The caller holds mu.
 func (e *Evidence) guilty(accused map[uint64][]*end, g *Register, now time.Duration) []uint64 {
 	var parts []uint64
 	explained := map[*end]bool{}
@@ -264,7 +269,7 @@
 		for part, ends := range remaining {
 			ends = slices.DeleteFunc(slices.Clone(ends), func(x *end) bool { return explained[x] })
 			remaining[part] = ends
-			if !sufficient(ends, g, part, now) {
+			if !e.sufficient(ends, g, part, now) {
 				continue
 			}
 			if score := len(ends); score > bestScore || score == bestScore && preferred(g, part, best, now) {
@@ -275,6 +280,11 @@
 			return parts
 		}
 		parts = append(parts, best)
+		for part, ends := range remaining {
+			if part != best && isRequest(best) && isRequest(part) && slices.Equal(ends, remaining[best]) && e.sufficient(ends, g, part, now) {
+				parts = append(parts, part)
+			}
+		}
 		for _, x := range remaining[best] {
 			explained[x] = true
 		}
@@ -282,26 +292,43 @@
 }
 
 // preferred reports whether of two parts with the same evidence a is to be quarantined: one that is
-// already.
+// already, else a whole request, which fewer callers miss.
 func preferred(g *Register, a, b uint64, now time.Duration) bool {
 	x, _ := g.lookup(a)
 	y, _ := g.lookup(b)
 	if x.quarantined(now) != y.quarantined(now) {
 		return x.quarantined(now)
 	}
+	if isRequest(a) != isRequest(b) {
+		return isRequest(a)
+	}
 	return a > b
 }
 
-// sufficient reports whether ends suffice to quarantine a part.
-func sufficient(ends []*end, g *Register, part uint64, now time.Duration) bool {
+// sufficient reports whether ends, in order, suffice to quarantine a part. The caller holds mu.
+func (e *Evidence) sufficient(ends []*end, g *Register, part uint64, now time.Duration) bool {
 	required := requiredEnds
 	if x, known := g.lookup(part); known && !x.released && !x.quarantined(now) {
 		required = 1 // on probation
 	}
+	if _, survived := e.survivals[part]; isRequest(part) && !survived && required > 1 {
+		return sufficientForRequest(ends, now)
+	}
 	times := spaced(ends)
 	return len(times) >= required && now-times[required-1] >= settleTime
 }
 
+// sufficientForRequest reports whether ends, in order, suffice to quarantine a whole request that no
+// upstream is known to have survived.
+func sufficientForRequest(ends []*end, now time.Duration) bool {
+	for i := requiredEnds - 1; i < len(ends); i++ {
+		if ends[i].at-ends[0].at >= minRequestSpan {
+			return now-ends[i].at >= settleTime
+		}
+	}
+	return false
+}
+
 // chooseSuspects chooses the accused parts that are not quarantined, those with most ends first. The
 // caller holds mu.
 func (e *Evidence) chooseSuspects(accused map[uint64][]*end, g *Register) {
--- a/internal/quarantiner/evidence_test.go
+++ b/internal/quarantiner/evidence_test.go
@@ -59,10 +59,16 @@
 	return g.Quarantined()
 }
 
-// TestDecisions guards against quarantining sound parts, and against letting a part that crashes
-// upstreams go on. Part 1 is what every request has, part 7 crashes upstreams.
+// TestDecisions guards against quarantining sound requests and parts, and against letting one that
+// crashes upstreams go on. Part 1 is what every prompt has, part 7 crashes upstreams; request 9 does,
+// request 5 is one that many callers send alike.
 func TestDecisions(t *testing.T) {
-	const s = time.Second
+	const (
+		s        = time.Second
+		ms       = time.Millisecond
+		request5 = requestBit | 5
+		request9 = requestBit | 9
+	)
 	series := func(at []time.Duration, parts ...uint64) []finding {
 		var all []finding
 		for _, x := range at {
@@ -98,6 +104,18 @@
 		{"two parts that crash", slices.Concat(series(times(0, 1100*time.Millisecond, 5), 7), series(times(500*time.Millisecond, 1100*time.Millisecond, 4), 8)), 10 * s, []uint64{7, 8}},
 		{"slow series", series(times(0, 30*s, 3), 7), 70 * s, []uint64{7}},
 		{"ends that are too old", series(times(0, 70*s, 3), 7), 150 * s, nil},
+		{"a request, three ends within a second", series(times(0, 300*ms, 3), request9), 4 * s, []uint64{request9}},
+		{"a request, not before hosts can have been asked for survivals", series(times(0, 300*ms, 3), request9), 3 * s, nil},
+		{"a request, all upstreams end at once, and again when they are back", slices.Concat(series(times(0, 10*ms, 3), request9), series(times(4*s, 10*ms, 3), request9)), 8 * s, []uint64{request9}},
+		{"a request, many upstreams end at once", series(times(0, 10*ms, 20), request9), 20 * s, nil},
+		{"a request, two ends", series(times(0, 5*s, 2), request9), 20 * s, nil},
+		{"a request that was answered before, upstreams end one after the other", append(series(times(10*s, 300*ms, 3), request5), survived(9*s, request5)), 20 * s, nil},
+		{"a request whose answer is reported late", append(series(times(0, 300*ms, 3), request5), survived(2*s, request5)), 20 * s, nil},
+		{"a request that is answered in between, upstreams end every second", slices.Concat(series(times(0, 1*s, 20), request5), survivals(times(500*ms, 1*s, 20), request5)), 25 * s, nil},
+		{"a request that once was answered and now crashes upstreams", append(series(times(10*s, 1100*ms, 3), request9), survived(9*s, request9)), 20 * s, []uint64{request9}},
+		{"a sound request beside the one that crashes", slices.Concat(series(times(0, 300*ms, 3), request5, request9), series(times(4*s, 300*ms, 1), request9)), 10 * s, []uint64{request9}},
+		{"a request with the same prompt each time: not the prompt's parts", series(times(0, 1100*ms, 3), 1, 7, request9), 10 * s, []uint64{request9}},
+		{"different requests with a part that crashes", slices.Concat(series(times(0, 1100*ms, 1), 7, request5), series(times(1100*ms, 1100*ms, 3), 7, request9)), 10 * s, []uint64{7}},
 	} {
 		if diff := gocmp.Diff(c.want, decide(t, c.findings, c.until)); diff != "" {
 			t.Errorf("%s: -want +got\n%s", c.name, diff)
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -114,17 +114,23 @@
 	}
 }
 
-// send sends a request with the given parts through a random host. It reports whether the request
-// reached an upstream, which ends if crashes is set.
+// send sends a request whose prompt has the given parts through a random host. It reports whether the
+// request reached an upstream, which ends if crashes is set.
 func (f *fleet) send(crashes bool, parts ...string) bool {
-	e := f.entries[f.random.IntN(len(f.entries))]
 	var all []Part
 	for _, id := range parts {
-		p := Part{ID: id, Key: PartKey(id)}
+		all = append(all, Part{ID: id, Key: PartKey(id)})
+	}
+	return f.sendParts(crashes, all...)
+}
+
+// sendParts sends a request like send.
+func (f *fleet) sendParts(crashes bool, all ...Part) bool {
+	e := f.entries[f.random.IntN(len(f.entries))]
+	for _, p := range all {
 		if _, found := e.register.Find(p.Key); found {
 			return false
 		}
-		all = append(all, p)
 	}
 	if !crashes {
 		e.observer.recordSurvival(all)
@@ -137,41 +143,45 @@
 	return true
 }
 
+// disturbances are sizes of fleets, and what happens to them while requests crash upstreams.
+var disturbances = []struct {
+	name              string
+	controls, entries int
+	disturb           func(f *fleet, step int)
+}{
+	{"one host", 3, 1, func(*fleet, int) {}},
+	{"eight hosts", 5, 8, func(*fleet, int) {}},
+	{"300 hosts", 9, 300, func(*fleet, int) {}},
+	{"300 hosts, the leader changes every second", 9, 300, func(f *fleet, step int) {
+		if step%20 == 0 {
+			f.leader = (f.leader + 1) % len(f.controls)
+		}
+	}},
+	{"the leader restarts every two seconds and leads again", 5, 24, func(f *fleet, step int) {
+		if step%40 == 0 {
+			f.controls[f.leader] = f.newControl()
+		}
+	}},
+	{"all control hosts restart", 5, 24, func(f *fleet, step int) {
+		if step%200 == 0 {
+			for i := range f.controls {
+				f.controls[i] = f.newControl()
+			}
+		}
+	}},
+	{"one entry host after the other restarts", 5, 24, func(f *fleet, step int) {
+		if step%5 == 0 {
+			i := step / 5 % len(f.entries)
+			f.entries[i] = f.newEntry(i % len(f.controls))
+			f.refresh(f.entries[i]) // a host that has had no reply yet is not ready
+		}
+	}},
+}
+
 // TestHostsShareWhatCrashesUpstreams guards against hosts that send requests which crash upstreams
 // because others know of it: also among 300 hosts, while leaders change, and after restarts.
 func TestHostsShareWhatCrashesUpstreams(t *testing.T) {
-	for _, c := range []struct {
-		name              string
-		controls, entries int
-		disturb           func(f *fleet, step int)
-	}{
-		{"eight hosts", 5, 8, func(*fleet, int) {}},
-		{"300 hosts", 9, 300, func(*fleet, int) {}},
-		{"300 hosts, the leader changes every second", 9, 300, func(f *fleet, step int) {
-			if step%20 == 0 {
-				f.leader = (f.leader + 1) % len(f.controls)
-			}
-		}},
-		{"the leader restarts every two seconds and leads again", 5, 24, func(f *fleet, step int) {
-			if step%40 == 0 {
-				f.controls[f.leader] = f.newControl()
-			}
-		}},
-		{"all control hosts restart", 5, 24, func(f *fleet, step int) {
-			if step%200 == 0 {
-				for i := range f.controls {
-					f.controls[i] = f.newControl()
-				}
-			}
-		}},
-		{"one entry host after the other restarts", 5, 24, func(f *fleet, step int) {
-			if step%5 == 0 {
-				i := step / 5 % len(f.entries)
-				f.entries[i] = f.newEntry(i % len(f.controls))
-				f.refresh(f.entries[i]) // a host that has had no reply yet is not ready
-			}
-		}},
-	} {
+	for _, c := range disturbances {
 		for seed := range uint64(5) {
 			f := newFleet(seed, c.controls, c.entries)
 			var arrivals []time.Duration
@@ -211,6 +221,81 @@
 	}
 }
 
+// TestHostsShareWhichRequestCrashesUpstreams guards against hosts that send a request without a prompt to
+// one upstream after another because only others know that it crashes them, and against refusing sound
+// requests that were at the same upstreams: also among 300 hosts, while leaders change, and after
+// restarts. There are three upstreams, which are back three seconds after a crash.
+func TestHostsShareWhichRequestCrashesUpstreams(t *testing.T) {
+	const upstreams, boundedRequestCrash, restart = 3, 3, 3 * time.Second
+	crashing := Part{Key: RequestKey("/seats", "c", []byte("crash"))}
+	alike := Part{Key: RequestKey("/seats", "c", nil)}
+	for _, c := range disturbances {
+		for seed := range uint64(5) {
+			f := newFleet(seed, c.controls, c.entries)
+			var arrivals []time.Duration
+			refused := 0
+			for step := 1; step <= 1200; step++ {
+				c.disturb(f, step)
+				f.step()
+				down := 0
+				for _, at := range arrivals[max(0, len(arrivals)-upstreams):] {
+					if f.clock.Now()-at < restart {
+						down++
+					}
+				}
+				if down == upstreams {
+					continue
+				}
+				if step%5 == 0 {
+					beside := []Part{crashing}
+					if f.random.IntN(2) == 0 {
+						beside = append(beside, alike)
+					}
+					if f.sendParts(true, beside...) {
+						arrivals = append(arrivals, f.clock.Now())
+					}
+				}
+				for _, p := range []Part{alike, {Key: RequestKey("/seats", "c", []byte(fmt.Sprint("seat", f.random.IntN(40))))}} {
+					if !f.sendParts(false, p) {
+						refused++
+					}
+				}
+			}
+			late := 0
+			for i, at := range arrivals {
+				if i >= boundedRequestCrash && at > arrivals[boundedRequestCrash-1]+stableWindow {
+					late++
+				}
+			}
+			if len(arrivals) < boundedRequestCrash || late > maxLateSends {
+				t.Errorf("%s, seed %d: %d crashes, %d of them later than %v after the third, want at most %d", c.name, seed, len(arrivals), late, stableWindow, maxLateSends)
+			}
+			if refused > 0 {
+				t.Errorf("%s, seed %d: %d sound requests refused", c.name, seed, refused)
+			}
+		}
+	}
+}
+
+// TestUpstreamsEndUnderAlikeRequests guards against a quarantine of a request that many callers send alike,
+// with an empty body, when all upstreams end at short intervals for another cause, again and again.
+func TestUpstreamsEndUnderAlikeRequests(t *testing.T) {
+	alike := Part{Key: RequestKey("/seats", "c", nil)}
+	for _, interval := range []int{1, 4, 6, 12, 30} { // steps
+		for seed := range uint64(5) {
+			f := newFleet(seed, 5, 8)
+			for step := 1; step <= 1200; step++ {
+				f.step()
+				series := step % 200
+				ends := series > 0 && series <= 3*interval && series%interval == 0
+				if !f.sendParts(ends, alike) {
+					t.Fatalf("interval %v, seed %d: refused after %v", time.Duration(interval)*testStep, seed, time.Duration(step)*testStep)
+				}
+			}
+		}
+	}
+}
+
 // TestRegistersConverge guards against a released part that comes back from a host that has not
 // received the release, and against a part that is forgotten while one host knows it.
 func TestRegistersConverge(t *testing.T) {
--- a/internal/quarantiner/observer.go
+++ b/internal/quarantiner/observer.go
@@ -49,7 +49,7 @@
 	Incarnation   uint64
 }
 
-// Part is a part of a prompt.
+// Part is a part of a prompt, or a whole request, whose ID is then for logs only.
 type Part struct {
 	ID  string
 	Key uint64
@@ -99,8 +99,8 @@
 	survived bool
 }
 
-// Start observes a request that is sent to an upstream. parts are those that other requests may have
-// too.
+// Start observes a request that is sent to an upstream. parts are the request itself and the parts of
+// its prompt that others may have too.
 func (o *Observer) Start(u Upstream, parts []Part) *Run {
 	if o == nil || len(parts) == 0 {
 		return nil
@@ -242,21 +242,25 @@
 // maxLoggedParts is the number of parts that a log line names.
 const maxLoggedParts = 8
 
-// Since returns the ends after a revision, the survivals of suspects, and the present revision.
+// Since returns the ends after a revision, the survivals of suspects and of the parts of these ends, and
+// the present revision. A receiver that has just started asks for no suspects yet.
 func (o *Observer) Since(revision uint64) (*schema.Findings, uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Timer.Now()
 	o.ends = slices.DeleteFunc(o.ends, func(x observedEnd) bool { return now-x.at > maxEndAge })
 	f := &schema.Findings{}
+	asked := slices.Clone(o.suspects)
 	for _, x := range o.ends {
 		if x.revision > revision {
+			asked = append(asked, x.parts...)
 			f.Ends = append(f.Ends, &schema.UpstreamEnd{
 				Upstream: x.upstream.Name, Incarnation: x.upstream.Incarnation, Age: (now - x.at).Seconds(), Parts: x.parts,
 			})
 		}
 	}
-	for _, part := range o.suspects {
+	slices.Sort(asked)
+	for _, part := range slices.Compact(asked) {
 		at, ok := o.recent[part]
 		if !ok {
 			at, ok = o.previous[part]
