--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -152,7 +152,7 @@
 	if a.Gone && a.Address == "" {
 		number := a.Number
 		proto.Merge(a, &schema.Announcement{
-			Address: old.Address, Pool: old.Pool, Region: old.Region, Domain: old.Domain, Slots: old.Slots,
+			Address: old.Address, Pool: old.Pool, Region: old.Region, Domain: old.Domain, Slots: old.Slots, Software: old.Software,
 		})
 		a.Number = max(number, old.Number)
 	}
@@ -187,7 +187,7 @@
 // differs reports whether two reports differ in anything that hosts base decisions on.
 func differs(a, b *schema.Announcement) bool {
 	return a.Incarnation != b.Incarnation || a.Address != b.Address || a.Pool != b.Pool ||
-		a.Domain != b.Domain || a.Slots != b.Slots || a.Leaving != b.Leaving || a.Gone != b.Gone ||
+		a.Domain != b.Domain || a.Slots != b.Slots || a.Software != b.Software || a.Leaving != b.Leaving || a.Gone != b.Gone ||
 		a.Silent != b.Silent || (a.Cold > 0) != (b.Cold > 0) || (a.Left > 0) != (b.Left > 0)
 }
 
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -455,7 +455,7 @@
 // Announce stores an upstream's report of itself.
 func (k *Cluster) Announce(a *schema.Announcement) {
 	if k.Table.StoreUpstream(a, true) {
-		k.c.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("address", a.Address).
+		k.c.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("address", a.Address).Str("software", a.Software).
 			Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
 			Bool("leaving", a.Leaving).Bool("gone", a.Gone).Float64("cold", a.Cold).Float64("left", a.Left).Msg("upstream changed")
 		k.requestConsult()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -29,6 +29,9 @@
 	TokensStated                 bool
 	// HintTokens is the caller's estimate of the response's tokens; 0 if it gave none.
 	HintTokens int64
+	// LastEventID and Resumes are set if the caller takes up a stream: the ID of the last event that it
+	// has, and the ID of its request that brought the first one.
+	LastEventID, Resumes string
 	// ArrivedAt and DeadlineAt are points in time on the timer's clock. DeadlineAt is the caller's
 	// own.
 	ArrivedAt, DeadlineAt time.Duration
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -27,6 +27,9 @@
 	if r.relayed {
 		e = e.Bool("relayed", true)
 	}
+	if r.LastEventID != "" {
+		e = e.Str("resumes", r.Resumes).Str("after", r.LastEventID)
+	}
 	return e
 }
 
@@ -36,7 +39,7 @@
 	wait := t.f.Timer.Now() - queuedAt
 	confirmationAge, _ := t.f.ConfirmationAge()
 	t.f.Metrics.slotWait.Observe(wait.Seconds())
-	t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Dur("waited", wait).
+	t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Str("software", reservation.Software).Dur("waited", wait).
 		Dur("expected", reservation.ExpectedDelay).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
 		Bool("agreed", reservation.Preferred).Str("passed", string(reservation.PreferredSkipped)).
 		Dur("certainty", confirmationAge).Int("sent", t.r.attempts).Msg("placed")
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -241,7 +241,7 @@
 	}
 	for _, a := range reply.Upstreams {
 		if r.Table.StoreUpstream(a, false) {
-			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
+			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
 				Float64("age", a.Age).Bool("leaving", a.Leaving).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("cold", a.Cold).
 				Float64("limit", a.Limit.GetRate()).Bool("limited", a.Limit != nil && !a.Limit.Ended).Str("control", r.controlAddress).Msg("upstream learned")
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -131,6 +131,8 @@
 	// Name, Address and Incarnation identify the upstream's process.
 	Name, Address string
 	Incarnation   uint64
+	// Software is the version of the software that the process runs.
+	Software string
 	// ExpectedDelay is the predicted delay from the reservation to the first token.
 	ExpectedDelay time.Duration
 	// CachedTokens is the number of prompt tokens that the upstream is assumed to have cached.
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -292,7 +292,8 @@
 	}
 	u := o.upstream
 	p := &Reservation{
-		Name: u.announcement.Name, Address: u.announcement.Address, Incarnation: u.announcement.Incarnation, ExpectedDelay: o.expectedDelay, CachedTokens: o.cachedTokens,
+		Name: u.announcement.Name, Address: u.announcement.Address, Incarnation: u.announcement.Incarnation, Software: u.announcement.Software,
+		ExpectedDelay: o.expectedDelay, CachedTokens: o.cachedTokens,
 		Running:   u.running + u.otherRunning,
 		Preferred: o.preferred, PreferredSkipped: o.skipReason,
 		scheduler: s, upstream: u, request: w, reservedAt: now, uncachedTokens: o.uncachedTokens,
