Go on with a stream only at the software version that began it

Cause: the choice of an upstream did not know versions, neither where a host resumes a stream within one answer nor where a caller takes it up. Class: a fact of the protocol that no part of the system keeps, here one about the past of a request.

Ruled out: reports that are out of date (there was no field), and events that are lost or repeated (the record names two versions for each stream).

Change: the version of the upstream that wrote the first event is required of all that go on: it is part of the request to the scheduler, also in relays to other regions. Entry hosts keep the version of each stream that may be resumed for two minutes, and send it to a control host at most 200 ms after it began, at once when it breaks off. A host at which a stream is taken up looks there, then asks a control host, which asks the others. Without a record the version is inferred only if all control hosts reply and each has observed a single one for 30 s and three times the route's timeout; a host that is just back, or that sees only what is left, so infers nothing. Else 503, at once; also if no region has the version any more.

Why it works: a version is required from the first event on, and comes only from a record of that stream or from observers that cannot have missed another version; a control host knows a version before any entry host can use it. Records outlive the entry hosts, so losing all of these at once costs only what was not sent yet.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -41,8 +41,10 @@
 	// process is a random identifier of the table since Start. A position in a table with
 	// another identifier is not valid here.
 	process       uint64
-	revision      uint64                // rises with each change; guarded by mu
-	upstreams     map[string]*upstream  // by name; guarded by mu
+	revision      uint64               // rises with each change; guarded by mu
+	upstreams     map[string]*upstream // by name; guarded by mu
+	startedAt     time.Duration
+	versions      versionHistory        // guarded by mu
 	addressOwners map[string]string     // address → name of the upstream that started last there; guarded by mu
 	hosts         map[string]*entryHost // by name; guarded by mu
 	// controlLoads holds the loads that other control hosts sent, by their address; guarded by mu
@@ -83,6 +85,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.process = rand.Uint64() | 1
+	t.startedAt = t.Timer.Now()
+	t.versions = versionHistory{}
 	t.upstreams = map[string]*upstream{}
 	t.addressOwners = map[string]string{}
 	t.hosts = map[string]*entryHost{}
@@ -103,6 +107,7 @@
 	}
 	limit := a.Limit
 	a.Limit = nil
+	t.versions.record(a.Pool, a.Software, reportedAt)
 	if old != nil && !newerUpstream(a, old.report) {
 		// The limit comes from answers, so it may change while the upstream's report does not.
 		return limit != nil && a.Incarnation == old.report.Incarnation && t.storeLimit(old, limit, false)
@@ -249,6 +254,7 @@
 			u.report, u.revision = report, t.revision
 		}
 	}
+	t.versions.expire(now)
 	if !t.IsMirror {
 		t.sweepHosts(leads, now)
 	}
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -17,6 +18,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -64,10 +66,13 @@
 	// Evidence and Quarantine hold what hosts found of parts of prompts that crash upstreams.
 	Evidence   *quarantiner.Evidence
 	Quarantine *quarantiner.Register
+	// Streams holds which software versions began the streams of entry hosts that report to this host.
+	Streams *resumer.Index
 
 	lender     *allocator.Lender
 	c          *Controller
 	consultNow chan struct{} // ends the wait before the next Consult call
+	searches   atomic.Int32  // questions to all control hosts that are open
 
 	mu                   sync.Mutex
 	candidates           map[uint64]candidate // by identity; guarded by mu
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -37,6 +38,13 @@
 	// prompts that crash upstreams. Both may be nil.
 	Observer   *quarantiner.Observer
 	Quarantine *quarantiner.Register
+	// Streams holds which software versions began the streams at upstreams of this host. OnStream is
+	// called after a stream was added; urgent means that its caller may take it up at once. Streams may
+	// be nil: then streams that callers take up may go on at any version.
+	Streams  *resumer.Index
+	OnStream func(urgent bool)
+	// FindStream asks the control hosts for the version that began a stream.
+	FindStream func(ctx context.Context, r *schema.FindStreamRequest) (*schema.FindStreamReply, error)
 	Protocol   Protocol
 	Metrics    *Metrics
 	// OnLimit is called after the limit that an upstream names has changed. Nil: not called.
@@ -108,6 +116,10 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	if err := f.resolveResume(ctx, r, t); err != nil {
+		t.refuse(sink, refusalOf(err))
+		return
+	}
 	if err := f.admit(ctx, r); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
@@ -190,6 +202,7 @@
 		return
 	}
 	if errors.Is(err, errTruncated) {
+		f.announceStream(r, true)
 		t.logTruncated(err)
 		sink.Abort()
 		return
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -44,7 +44,7 @@
 func (f *Forwarder) otherRegions(r *Request) []regionLoad {
 	var all []regionLoad
 	for _, d := range f.digests() {
-		if d.Region == f.Region || !r.allows(d.Region) {
+		if d.Region == f.Region || !r.allows(d.Region) || r.resumeRegions != nil && !slices.Contains(r.resumeRegions, d.Region) {
 			continue
 		}
 		for _, p := range d.Routes {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -5,6 +5,7 @@
 // Metrics counts the outcomes of requests, and measures how long requests take and wait.
 type Metrics struct {
 	answered, attemptsFailed, refused *prometheus.CounterVec
+	resumes                           *prometheus.CounterVec
 	callersLeft, truncated            prometheus.Counter
 	limitsInvalid                     prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
@@ -20,6 +21,7 @@
 		answered:       counter("trefoil_requests_answered_total", "Requests answered by an upstream here, by pool.", "pool"),
 		attemptsFailed: counter("trefoil_tries_failed_total", "Tries at upstreams that gave no answer, by pool.", "pool"),
 		refused:        counter("trefoil_requests_refused_total", "Requests refused, by cause.", "cause"),
+		resumes:        counter("trefoil_streams_resumed_total", "Streams that callers took up, by how their version was found.", "source"),
 		callersLeft:    prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_callers_left_total", Help: "Callers that went away."}),
 		truncated:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_answers_broken_total", Help: "Answers broken off."}),
 		limitsInvalid:  prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_limits_invalid_total", Help: "Limits of upstreams that could not be read."}),
@@ -36,5 +38,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.callersLeft, m.truncated, m.limitsInvalid, m.requestTime, m.slotWait}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.requestTime, m.slotWait}
 }
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -23,6 +23,8 @@
 	Err error
 	// Part is the ID of the quarantined part of the prompt, for the log only; empty for other causes.
 	Part string
+	// Software is the version that began the stream, for the log only; empty for other causes.
+	Software string
 }
 
 // Error returns the cause.
@@ -46,6 +48,8 @@
 	causeUnreachable        = "the upstream cannot be reached"
 	causeStopping           = "the host is stopping"
 	causePartQuarantined    = "upstreams crashed under a part of the prompt"
+	causeOriginUnknown      = "the version that began the stream is not known"
+	causeVersionGone        = "no upstream of the version that began the stream is left"
 	causeRequestQuarantined = "upstreams crashed under this request"
 )
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -83,6 +83,9 @@
 		Left: (r.answerUntil - now).Seconds(), Age: (now - r.ArrivedAt).Seconds(), Objective: (r.objectiveAt - now).Seconds(), Pool: r.pool,
 		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion,
 	}
+	if r.software != nil {
+		m.Resume = &schema.Resume{After: r.LastEventID, Request: r.Resumes, Software: *r.software}
+	}
 	for name, values := range r.Header {
 		for _, v := range values {
 			m.Headers = append(m.Headers, &schema.Header{Name: name, Value: v})
@@ -224,6 +227,9 @@
 		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, ArrivedAt: now - seconds(m.Age),
 		DeadlineAt: now + seconds(m.Left), relayed: true, priority: int(m.Priority), pool: m.Pool,
 	}
+	if m.Resume != nil {
+		r.LastEventID, r.Resumes, r.software = m.Resume.After, m.Resume.Request, &m.Resume.Software
+	}
 	for _, p := range m.Parts {
 		r.Parts = append(r.Parts, scheduler.PromptPart{ID: p.Id, Tokens: p.Tokens})
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,6 +52,9 @@
 	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
 	mayHaveRun    bool
+	software      *string  // version of the software that began the stream; nil before its first event
+	resumeRegions []string // that have upstreams of that version; nil: not known
+	recorded      bool     // the stream that it began is in the Forwarder's Streams
 }
 
 // Customer returns the name of the customer that sent the request; empty on a route that
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -68,6 +68,7 @@
 				reservation.RecordReceived()
 				s.run.RecordProgress()
 			}
+			f.recordOrigin(r, reservation)
 			if err := f.forwardEvents(r, sink, s, call, events); err != nil {
 				return err
 			}
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -58,6 +59,12 @@
 	t.withFields(t.f.Log.Warn()).Err(err).Str("upstream", reservation.Name).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Str("last", s.lastEventID).Int("events", s.events).Bool("unsure", t.r.mayHaveRun).Msg("try failed")
 }
 
+// logResume logs and counts that the caller takes up a stream, and how the version that began it was found.
+func (t *trace) logResume(o resumer.Origin, source string) {
+	t.f.Metrics.resumes.WithLabelValues(source).Inc()
+	t.withFields(t.f.Log.Info()).Str("software", o.Software).Str("source", source).Strs("regions", t.r.resumeRegions).Msg("stream taken up")
+}
+
 // logRelayed logs that the request is relayed to a host of another region.
 func (t *trace) logRelayed(region, host string) {
 	t.withFields(t.f.Log.Info()).Str("region", region).Str("host", host).Strs("allowed", t.r.regions).Msg("passed to another region")
@@ -70,6 +77,9 @@
 	if x.Part != "" {
 		e = e.Str("part", x.Part)
 	}
+	if x.Software != "" {
+		e = e.Str("software", x.Software)
+	}
 	e.Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.RetryAfter).
 		Dur("certainty", confirmationAge).Float64("tokens", t.r.chargedTokens).Bool("unsure", t.r.mayHaveRun).Msg("refused")
 	sink.Refuse(x)
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -49,6 +50,8 @@
 	Bucket      *allocator.Bucket
 	// Findings exchanges what is known of parts of prompts that crash upstreams. Nil: nothing is.
 	Findings *quarantiner.Link
+	// Streams selects what is known of the streams that began at this host. Nil: nothing is sent.
+	Streams *resumer.Sender
 	// OwnLimits returns the limits that upstreams lately named in answers to this host. Nil: none.
 	OwnLimits func() []*schema.NamedLimit
 	// IsBusy reports whether this host handles so many requests that other hosts need its load
@@ -58,7 +61,8 @@
 	// digests of other regions, once the table is updated. Nil: not called.
 	OnLoads func(loads []*schema.PoolLoad, digests []*schema.RegionDigest)
 
-	reportRequested chan struct{}
+	reportRequested  chan struct{}
+	streamsRequested chan bool // urgent or not
 
 	mu sync.Mutex
 	// confirmedAt is the time, on Timer's clock, as of which the configuration was last
@@ -103,7 +107,10 @@
 }
 
 // Init must be called before Run and ReportNow.
-func (r *Refresher) Init() { r.reportRequested = make(chan struct{}, 1) }
+func (r *Refresher) Init() {
+	r.reportRequested = make(chan struct{}, 1)
+	r.streamsRequested = make(chan bool, 2)
+}
 
 // ReportNow makes Run send the next report at once. It does not block.
 func (r *Refresher) ReportNow() {
@@ -288,9 +295,7 @@
 // minTokens would be available. An error that wraps ErrNoLender says that no control host could
 // decide. Tokens of a reply that is lost are lost to the customer.
 func (r *Refresher) Borrow(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
-	r.mu.Lock()
-	addresses := r.lenderAddresses()
-	r.mu.Unlock()
+	addresses := r.nearestControls()
 	if len(addresses) == 0 {
 		return 0, 0, ErrNoLender
 	}
@@ -310,9 +315,10 @@
 	return reply.Tokens, time.Duration(reply.Retry * float64(time.Second)), nil
 }
 
-// lenderAddresses returns the control host that replied last and the next in order of preference.
-// The caller holds mu.
-func (r *Refresher) lenderAddresses() []string {
+// nearestControls returns the control host that replied last and the next in order of preference.
+func (r *Refresher) nearestControls() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var addresses []string
 	if r.repliedAddress != "" {
 		addresses = append(addresses, r.repliedAddress)
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -19,7 +19,7 @@
 	var healthy, unreliable, unavailable []*upstream
 	for _, u := range s.sortedUpstreams {
 		a := u.announcement
-		if a.Pool != w.Pool || a.Leaving || a.Gone || w.Excluded[a.Name] || c.Evacuated(a.Domain) {
+		if a.Pool != w.Pool || a.Leaving || a.Gone || w.Excluded[a.Name] || w.Software != nil && a.Software != *w.Software || c.Evacuated(a.Domain) {
 			continue
 		}
 		switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,6 +78,8 @@
 	Unrepeatable bool
 	// Excluded holds the names of upstreams at which this request has failed. May be nil.
 	Excluded map[string]bool
+	// Software is the version of the software that the upstream must run; nil: any.
+	Software *string
 }
 
 // Scheduler assigns requests to the upstreams of one region. Set the exported fields before
@@ -320,6 +322,19 @@
 	return o
 }
 
+// HasVersion reports whether an upstream of a pool in this region runs a version of software and takes
+// requests.
+func (s *Scheduler) HasVersion(pool, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.candidates(&Request{Pool: pool, Software: &version}, s.Timer.Now()) {
+		if !u.announcement.Silent {
+			return true
+		}
+	}
+	return false
+}
+
 // ReceivedSince reports whether anything was received from the upstream, for any request, since the
 // reservation.
 func (p *Reservation) ReceivedSince() bool {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -359,3 +359,36 @@
 		t.Errorf("slow delay after the burst: %v, want at most 300ms", slow)
 	}
 }
+
+// TestRequiredVersion guards against giving a request that goes on with a stream to an upstream of another
+// version, also when those of its own are busy, silent or excluded.
+func TestRequiredVersion(t *testing.T) {
+	version := "v2"
+	s := newScheduler(
+		&schema.Announcement{Name: "u1", Pool: "desk", Slots: 8, Software: "v1", Incarnation: 1},
+		&schema.Announcement{Name: "u2", Pool: "desk", Slots: 1, Software: version, Incarnation: 1},
+		&schema.Announcement{Name: "u3", Pool: "desk", Slots: 1, Software: version, Incarnation: 1, Silent: true},
+	)
+	now := s.Timer.Now()
+	w := func(excluded ...string) *Request {
+		r := &Request{Pool: "desk", Software: &version, ObjectiveAt: now + time.Second, Deadline: now + time.Second, Excluded: map[string]bool{}}
+		for _, name := range excluded {
+			r.Excluded[name] = true
+		}
+		return r
+	}
+	for range 20 {
+		x, err := s.reserveOrEnqueue(w())
+		if err == nil && x.reservation != nil && x.reservation.Software != version {
+			t.Fatalf("reserved %s", x.reservation.Name)
+		}
+	}
+	if _, err := s.Acquire(t.Context(), w("u2", "u3")); !errors.Is(err, ErrNoUpstream) {
+		t.Errorf("no upstream of the version is left: error %v, want ErrNoUpstream", err)
+	}
+	for version, want := range map[string]bool{"v1": true, "v2": true, "v3": false} {
+		if got := s.HasVersion("desk", version); got != want {
+			t.Errorf("HasVersion(%q) is %v", version, got)
+		}
+	}
+}
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -73,6 +75,7 @@
 		Allocator: &allocator.Allocator{Now: clock.Now, Limits: limits},
 		Bucket:    &allocator.Bucket{Now: clock.Now, Limits: limits, SlackTokens: c.SlackTokens},
 		Evidence:  &quarantiner.Evidence{Now: clock.Now}, Quarantine: &quarantiner.Register{Now: clock.Now},
+		Streams: &resumer.Index{Now: clock.Now, Process: rand.Uint64() | 1, MaxStreams: maxControlStreams},
 	}
 }
 
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -22,6 +22,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/refresher"
+	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -45,6 +46,9 @@
 	// Time before the end of its grace period at which a stopping host is no longer listed,
 	// even if no other host of its region is ready.
 	stoppingListMargin = time.Second
+	// Numbers of streams whose origins an entry host and a control host keep, at some 100 bytes each.
+	maxEntryStreams   = 4 << 10
+	maxControlStreams = 64 << 10
 )
 
 // Entry is the process of an entry host. Set the exported fields from Options to Listeners,
@@ -96,11 +100,13 @@
 	observer := &quarantiner.Observer{
 		Timer: e.Timer, Log: e.Log, Refused: e.pool.Refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
 	}
+	streams := &resumer.Index{Now: e.Timer.Now, MaxStreams: maxEntryStreams}
 	e.refresher = &refresher.Refresher{
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, SeedAddresses: e.Seeds, SelfReport: e.ownState,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, OnLoads: e.applyLoads,
 		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits,
-		IsBusy: func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
+		Streams: &resumer.Sender{Index: streams},
+		IsBusy:  func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
 	}
 	e.refresher.Init()
 	e.RetryBudget.Now = e.Timer.Now
@@ -110,6 +116,7 @@
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(),
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.Table.ReadyHosts, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow,
+		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
 	}
 }
 
@@ -136,6 +143,7 @@
 	var g run.Group
 	g.Add(func() error { return e.Timer.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return e.refresher.Run(componentsCtx) }, func(error) { cancel() })
+	g.Add(func() error { return e.refresher.RunStreams(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
 	for _, h := range servers {
 		g.Add(h.serve, func(error) { cancel(); _ = h.server.Close() })
