--- a/internal/faker/engine.go
+++ b/internal/faker/engine.go
@@ -32,6 +32,8 @@
 	Domain  string
 	Address string
 	Models  []string
+	// Software is the version of the software that it announces.
+	Software string
 	// Slots is the number of requests that run at once; further ones wait. Below 1 counts as 1.
 	Slots int
 	// FirstTokenDelay is the time to the first token of a prompt whose prefix is not cached.
@@ -288,7 +290,7 @@
 func (e *Engine) Announcement() *schema.Announcement {
 	return &schema.Announcement{
 		Name: e.Name, Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Region: e.Region, Domain: e.Domain,
-		Address: e.Address, Models: e.Models, Slots: int32(max(1, e.Slots)),
+		Address: e.Address, Models: e.Models, Software: e.Software, Slots: int32(max(1, e.Slots)),
 		Running: e.running.Load(), Waiting: e.waiting.Load(), Number: e.announcementNumber.Add(1), Lease: 3, Price: 1,
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,8 @@
 	// Excluded holds the names of upstreams that must not be chosen, since they failed for
 	// this request. Nil: none.
 	Excluded map[string]bool
+	// Software is the version of the software that the upstream must run; nil: any.
+	Software *string
 }
 
 // Router chooses among the upstreams of one region. Set the exported fields before use. It
@@ -145,6 +147,9 @@
 }
 
 func serves(u *registrar.Upstream, q Request) bool {
+	if q.Software != nil && u.Software != *q.Software {
+		return false
+	}
 	names := u.Models
 	if q.Kind == schema.UpstreamKind_UPSTREAM_SERVICE {
 		names = u.Routes
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -50,11 +50,14 @@
 	p.announce(&schema.Announcement{Name: "leaving", Models: []string{"m"}, Leaving: true})
 	p.announce(&schema.Announcement{Name: "excluded", Models: []string{"m"}})
 	p.announce(&schema.Announcement{Name: "short-lease", Models: []string{"m"}, Lease: 0.5})
-	p.announce(&schema.Announcement{Name: "good", Models: []string{"m"}})
+	p.announce(&schema.Announcement{Name: "other-version", Models: []string{"m"}, Software: "v2"})
+	p.announce(&schema.Announcement{Name: "good", Models: []string{"m"}, Software: "v1"})
 	p.clock.Advance(time.Second)
 	r := p.router(nil)
 	q := anyModel
 	q.Excluded = map[string]bool{"excluded": true}
+	version := "v1"
+	q.Software = &version
 	for range 50 {
 		u, err := r.Pick(q)
 		if err != nil || u.Name != "good" {
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -85,7 +85,7 @@
 	lastErr := error(router.ErrNoUpstream)
 	for n := 0; history.withoutProgress < maxAttemptsWithoutProgress && s.allowAttempt(n); n++ {
 		reservation, err := s.router.Pick(router.Request{
-			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, PrefixHash: c.prefixHash, Excluded: history.excluded,
+			Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Pool: c.model, PrefixHash: c.prefixHash, Excluded: history.excluded, Software: c.software,
 		})
 		if err != nil {
 			s.Log.Warn().Err(err).Str("request", c.requestID).Str("pool", c.model).Int("attempt", n).Int("excluded", len(history.excluded)).Msg("no upstream for the attempt")
@@ -93,6 +93,9 @@
 		}
 		tokensBefore := c.delivered.tokens
 		err = s.runOnUpstream(ctx, c, reservation, history.needsNewConnection(reservation.Name), out)
+		if c.software == nil && c.delivered.tokens > 0 {
+			c.software = &reservation.Software
+		}
 		reconnect := history.record(reservation.Name, err, c.delivered.tokens > tokensBefore)
 		s.logAttempt(ctx, c, n, reservation, reconnect, err)
 		s.finishAttempt(ctx, reservation, err, reconnect)
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -48,6 +48,9 @@
 	maxPromptTokens int // upper bound of the tokens in the prompt
 	prefixHash      uint64
 	delivered       deliveredStream
+	// software is the version of the upstream's software that the delivered tokens are from; nil before
+	// the first.
+	software *string
 	// forwarded is set if a host of another region sent the request here.
 	forwarded    bool
 	usedTokens   int64 // as reported by the upstream; 0 if it reported none
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -53,6 +53,73 @@
 	}
 }
 
+// TestCompletionsOfTwoVersions guards against an answer whose first tokens one version of an engine's software
+// wrote and the rest another, and against breaking off one that an engine of the same version can go on
+// with. One of two engines of a version fails at token 5 of each answer that begins there.
+func TestCompletionsOfTwoVersions(t *testing.T) {
+	s := newSystem(t)
+	var mu sync.Mutex
+	versions := map[string]map[string]bool{} // by the answer's ID
+	var faults atomic.Int32
+	for i, fails := range []bool{true, false} {
+		e := &faker.Engine{Name: fmt.Sprint("old-", i), Slots: 64, TokenInterval: time.Millisecond, Software: "v1"}
+		e.InjectFault = func(id string, token int) faker.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if versions[id] == nil {
+				versions[id] = map[string]bool{}
+			}
+			versions[id]["v1"] = true
+			if fails && token == 5 {
+				faults.Add(1)
+				return faker.FaultTruncate
+			}
+			return faker.NoFault
+		}
+		s.addEngine("lothian", e, 12+i)
+	}
+	for _, e := range s.engines {
+		if e.Software == "v1" || e.InjectFault != nil {
+			continue
+		}
+		e.InjectFault = func(id string, _ int) faker.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if versions[id] == nil {
+				versions[id] = map[string]bool{}
+			}
+			versions[id]["none"] = true
+			return faker.NoFault
+		}
+	}
+	s.applySheet()
+	key := s.issueKey("st-giles")
+	host := s.address("lothian", 0)
+	s.waitUntilServing(host, key)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("Which of the pews are free in row %d? tokens:30", i)
+			a := s.chat(host, key, prompt, true)
+			if text, complete := a.text(); a.err != nil || !complete || text != expectedText(prompt) {
+				t.Errorf("prompt %d: status %d, complete %v, error %v, text %q", i, a.status, complete, a.err, text)
+			}
+		})
+	}
+	wg.Wait()
+	joined := 0
+	mu.Lock()
+	defer mu.Unlock()
+	for _, v := range versions {
+		if len(v) > 1 {
+			joined++
+		}
+	}
+	if joined > 0 || faults.Load() == 0 {
+		t.Errorf("%d of %d answers hold tokens of two versions, %d broke off, want none and some", joined, len(versions), faults.Load())
+	}
+}
+
 // TestGracefulStop guards against requests that are truncated or refused by a planned stop.
 // A host gets SIGTERM while streams and bookings run, and further requests arrive from
 // callers with an older list of hosts. All must succeed, and the host must exit with status 0.
