Infer the version of a stream from the first start of the system on

Cause: control hosts counted their observation from their own start, also where nothing of the system had run before. A control host that starts with an empty disk at the first start of the system has missed nothing; one that starts again has.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -36,6 +36,8 @@
 	AnnounceInterval time.Duration
 	// IsMirror is set if all reports come from another table, which marks what no longer reports.
 	IsMirror bool
+	// IsFirst is set if no upstream served before the table was started, as the system had not started.
+	IsFirst bool
 
 	mu sync.Mutex
 	// process is a random identifier of the table since Start. A position in a table with
--- a/internal/cataloger/version.go
+++ b/internal/cataloger/version.go
@@ -45,7 +45,7 @@
 }
 
 // Versions returns the versions of software that upstreams of a pool have or had within a time, sorted,
-// and for how long the table has observed them.
+// and for how long the table has observed them, as if always if it was the first.
 func (t *Table) Versions(pool string, within time.Duration) ([]string, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,7 +62,11 @@
 		}
 	}
 	slices.Sort(all)
-	return slices.Compact(all), min(now-t.startedAt, versionRetainTime)
+	observed := min(now-t.startedAt, versionRetainTime)
+	if t.IsFirst {
+		observed = versionRetainTime
+	}
+	return slices.Compact(all), observed
 }
 
 // RegionsWith returns the regions with an upstream of a pool and version that takes requests, sorted.
--- a/internal/cataloger/version_test.go
+++ b/internal/cataloger/version_test.go
@@ -52,6 +52,11 @@
 	if _, observed := table.Versions("p", time.Minute); observed != 70*time.Second {
 		t.Errorf("observed for %v, want 70s", observed)
 	}
+	first := &Table{Timer: clock, AnnounceInterval: time.Second, IsFirst: true}
+	first.Start()
+	if _, observed := first.Versions("p", time.Minute); observed < time.Minute {
+		t.Errorf("the first table observed for %v, want as if always", observed)
+	}
 	clock.Advance(5 * time.Minute)
 	check("an upstream that is only silent", time.Minute, "v4")
 	clock.Advance(time.Hour)
