--- a/internal/quarantiner/evidence_test.go
+++ b/internal/quarantiner/evidence_test.go
@@ -145,3 +145,11 @@
 		t.Errorf("still has %v after the probation", list)
 	}
 }
+
+// BenchmarkRequestKey reports the time to name a request with a body of 4 KB.
+func BenchmarkRequestKey(b *testing.B) {
+	body := make([]byte, 4<<10)
+	for b.Loop() {
+		RequestKey("/seats/1", "customer", body)
+	}
+}
--- a/internal/resumer/index_test.go
+++ b/internal/resumer/index_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -110,3 +112,23 @@
 		t.Error("keys of different streams are equal")
 	}
 }
+
+// BenchmarkFullIndex reports the memory and the size on the wire of a stream's record, and the time to
+// store one.
+func BenchmarkFullIndex(b *testing.B) {
+	const streams = 64 << 10
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x, _ := newIndex(streams)
+		for i := range 2 * streams {
+			x.Add(Key("customer", fmt.Sprint(i)), Origin{"vozi80b", "v1.2"}, 0)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		list, _ := x.Since(0, 1000)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(x.Len()), "B/stream")
+		b.ReportMetric(float64(proto.Size(&schema.StreamsRequest{Streams: list}))/float64(len(list)), "wireB/stream")
+	}
+}
