--- a/internal/resumer/finder.go
+++ b/internal/resumer/finder.go
@@ -17,16 +17,18 @@
 }
 
 const (
-	// minVersionTime is the shortest time for which a pool must have had a single version for a stream
-	// without a record to be attributed to it. It exceeds the time for which an upstream serves after
-	// its last report, and routeTimes a route's timeout that of a caller's tries.
+	// minVersionTime exceeds the time for which an upstream serves after its last report.
 	minVersionTime = 30 * time.Second
-	routeTimes     = 3
+	// maxTries is the number of route timeouts that a caller may have spent on a stream, with its first
+	// request and those that took it up.
+	maxTries = 3
 )
 
-// VersionTime returns the time before a request that takes up a stream in which the stream may have begun.
+// VersionTime returns the time before a request that takes up a stream in which upstreams that may have
+// begun the stream sent reports. A stream without a record is attributed to the only version of its pool
+// if there was a single one for that time.
 func VersionTime(routeTimeout time.Duration) time.Duration {
-	return minVersionTime + routeTimes*routeTimeout
+	return minVersionTime + maxTries*routeTimeout
 }
 
 // Find returns what one control host knows of the stream that a request asks for.
--- a/internal/resumer/index.go
+++ b/internal/resumer/index.go
@@ -16,7 +16,7 @@
 	RetainTime = 2 * time.Minute
 	// maxOrigins bounds the distinct origins that an Index shares between its records.
 	maxOrigins = 1024
-	// Bound of the lengths of a reported pool and version, in bytes.
+	// Upper bound of the lengths of a reported pool and version, in bytes.
 	maxNameLength = 256
 )
 
