--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -63,7 +63,8 @@
 	Allocator *allocator.Allocator
 	// Bucket holds this host's part of customers' limits, out of which it lends to entry hosts.
 	Bucket *allocator.Bucket
-	// Evidence and Quarantine hold what hosts found of parts of prompts that crash upstreams.
+	// Evidence and Quarantine hold what hosts found of requests and parts of prompts that crash
+	// upstreams.
 	Evidence   *quarantiner.Evidence
 	Quarantine *quarantiner.Register
 	// Streams holds which software versions began the streams of entry hosts that report to this host.
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -48,7 +48,8 @@
 	Distributor *distributor.Distributor
 	Table       *cataloger.Table
 	Bucket      *allocator.Bucket
-	// Findings exchanges what is known of parts of prompts that crash upstreams. Nil: nothing is.
+	// Findings exchanges what is known of requests and parts of prompts that crash upstreams. Nil:
+	// nothing is.
 	Findings *quarantiner.Link
 	// Streams selects what is known of the streams that began at this host. Nil: nothing is sent.
 	Streams *resumer.Sender
