Review: a request to a leaving replica after the core restarted (case 3), cases in order

Cause: the ack of a deregistration stands in the memory of the control hosts alone, and entry hosts never drop what no control host knows any more.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 	"same-id":     sameID,
 	"lost-host":   lostHost,
 	"double-path": doublePath,
+	"leaving":     leaving,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -26,6 +26,7 @@
 	stop   context.CancelFunc
 	dead   atomic.Bool
 	once   sync.Once
+	born   int64 // start of the lifetime, Unix milliseconds
 }
 
 // startReplica starts a lifetime of a replica.
@@ -35,6 +36,7 @@
 		return fmt.Errorf("%w: %v", errNotRun, err)
 	}
 	r.d = d
+	r.born = time.Now().UnixMilli()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
@@ -58,7 +60,6 @@
 
 // announce sends the liveness reports.
 func (r *replica) announce(ctx context.Context) {
-	born := time.Now().UnixMilli()
 	wait := func(d time.Duration) bool {
 		select {
 		case <-ctx.Done():
@@ -73,7 +74,7 @@
 	for seq := 1; ; seq++ {
 		b, _ := json.Marshal(map[string]any{
 			"service": r.service, "addr": r.addr, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
-			"warmupLeftMs": 0, "callSeq": seq, "born": born,
+			"warmupLeftMs": 0, "callSeq": seq, "born": r.born,
 		})
 		for k, first := 0, rand.IntN(len(r.d.controls)); k < len(r.d.controls) && ctx.Err() == nil; k++ {
 			if status, _ := r.d.call(r.d.controls[(first+k)%len(r.d.controls)], http.MethodPost, "/Instances.Heartbeat/"+r.id, string(b)); status/100 == 2 {
