Review case 3: streams of a version that is being replaced can't go on

Cause: a replica that reports draining is taken for gone, also for streams of its version that no other replica may go on with.

--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -11,8 +11,8 @@
 const (
 	drain = 4 * time.Second
 	// Time from the ack of the deregistration to the kill of the core, and to its new start.
-	coreKilledAfter  = 100 * time.Millisecond
-	coreStartedAfter = 600 * time.Millisecond
+	coreKilledAfter  = 50 * time.Millisecond
+	coreStartedAfter = 550 * time.Millisecond
 	// Time for which the leaving replica serves on after the ack.
 	servesOn = 16 * time.Second
 )
@@ -21,7 +21,7 @@
 // just after one of them acknowledged that. Nothing may be sent to the replica any more.
 func leaving(d *deployment, trouble bool) (bool, error) {
 	d.addControls("lothian-a", "lothian-a", "clyde-a", "clyde-a", "grampian-a")
-	d.addEntries(zones...)
+	d.addEntries("lothian-a", "lothian-a", "lothian-a", "clyde-a", "grampian-a")
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 	"lost-host":   lostHost,
 	"double-path": doublePath,
 	"leaving":     leaving,
+	"release":     release,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -25,8 +25,12 @@
 	server *http.Server
 	stop   context.CancelFunc
 	dead   atomic.Bool
-	once   sync.Once
-	born   int64 // start of the lifetime, Unix milliseconds
+	// leaving is set once the replica reports that it drains; report makes it report at once.
+	leaving atomic.Bool
+	report  chan struct{}
+	drained chan time.Duration // gets the time of the first ack of that
+	once    sync.Once
+	born    int64 // start of the lifetime, Unix milliseconds
 }
 
 // startReplica starts a lifetime of a replica.
@@ -37,6 +41,7 @@
 	}
 	r.d = d
 	r.born = time.Now().UnixMilli()
+	r.report, r.drained = make(chan struct{}, 1), make(chan time.Duration, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
@@ -66,18 +71,30 @@
 			return false
 		case <-time.After(d):
 			return true
+		case <-r.report:
+			return true
 		}
 	}
 	if !wait(r.firstBeatDelay) {
 		return
 	}
 	for seq := 1; ; seq++ {
+		state := "ready"
+		if r.leaving.Load() {
+			state = "draining"
+		}
 		b, _ := json.Marshal(map[string]any{
-			"service": r.service, "addr": r.addr, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
+			"service": r.service, "addr": r.addr, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
 			"warmupLeftMs": 0, "callSeq": seq, "born": r.born,
 		})
 		for k, first := 0, rand.IntN(len(r.d.controls)); k < len(r.d.controls) && ctx.Err() == nil; k++ {
 			if status, _ := r.d.call(r.d.controls[(first+k)%len(r.d.controls)], http.MethodPost, "/Instances.Heartbeat/"+r.id, string(b)); status/100 == 2 {
+				if state == "draining" {
+					select {
+					case r.drained <- r.d.rec.at():
+					default:
+					}
+				}
 				if seq == 1 {
 					r.d.rec.log("replica %s (version %s): first liveness report acknowledged", r.id, r.version)
 				}
@@ -112,3 +129,12 @@
 		r.handler(r, w, q, body)
 	}
 }
+
+// drain makes the replica report that it drains, until it ends. It returns the time of the first ack.
+func (r *replica) drain() time.Duration {
+	r.leaving.Store(true)
+	r.report <- struct{}{}
+	at := <-r.drained
+	r.d.rec.log("replica %s (version %s): draining, acknowledged", r.id, r.version)
+	return at
+}
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -10,8 +10,8 @@
 
 const (
 	// Time after the SIGTERM at which the booking is sent, and for which its replica works on it.
-	bookingAfter = 5600 * time.Millisecond
-	bookingWork  = 2300 * time.Millisecond
+	bookingAfter = 5400 * time.Millisecond
+	bookingWork  = 2500 * time.Millisecond
 )
 
 // stopDuringBooking plays a SIGTERM of an entry host that the directory still names, as it is the only
