--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -92,3 +92,23 @@
 	}
 	return response.StatusCode, string(b)
 }
+
+// lookups sends safe requests to one entry host until stop is closed, ten a second.
+func (d *deployment) lookups(m *machine, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		c, err := d.open(m)
+		if err != nil {
+			continue
+		}
+		a := c.exchange(http.MethodGet, hostName, lookPath+"2f", "", clientHeader(newID(), "5000"), 6*time.Second, nil)
+		if a.status != http.StatusOK {
+			d.rec.log("client: a lookup at %s got %d %s", m.name, a.status, strings.TrimSpace(a.body))
+		}
+		c.close()
+	}
+}
