--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -120,7 +120,7 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
-	if err := f.admit(ctx, r); err != nil {
+	if err := f.admit(ctx, r, t); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
 	}
@@ -133,13 +133,27 @@
 }
 
 // admit charges the request to its customer. It refuses a request that would outlast the process.
-func (f *Forwarder) admit(ctx context.Context, r *Request) error {
-	if f.endsAfterProcess(r) {
-		return refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
+func (f *Forwarder) admit(ctx context.Context, r *Request, t *trace) error {
+	if err := f.checkStopping(r, t); err != nil {
+		return err
 	}
 	return f.charge(ctx, r)
 }
 
+// checkStopping refuses a request that would outlast the process.
+func (f *Forwarder) checkStopping(r *Request, t *trace) error {
+	at := time.Duration(f.processEndAt.Load())
+	if at == 0 {
+		return nil
+	}
+	now, late := f.Timer.Now(), f.endsAfterProcess(r)
+	t.logStopping(!late, f.expectedEnd(r)-now, at-now)
+	if late {
+		return refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
+	}
+	return nil
+}
+
 // endsAfterProcess reports whether the process is stopping and would end before the request.
 func (f *Forwarder) endsAfterProcess(r *Request) bool {
 	at := time.Duration(f.processEndAt.Load())
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -205,8 +205,8 @@
 		t.refuse(sink, refusalOf(err))
 		return nil
 	}
-	if f.endsAfterProcess(r) {
-		t.refuse(sink, refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay))
+	if err := f.checkStopping(r, t); err != nil {
+		t.refuse(sink, refusalOf(err))
 		return nil
 	}
 	ctx, cancel := f.withDeadline(stream.Context(), r.answerUntil)
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -70,6 +70,12 @@
 	t.withFields(t.f.Log.Info()).Str("region", region).Str("host", host).Strs("allowed", t.r.regions).Msg("passed to another region")
 }
 
+// logStopping logs whether a stopping host takes a request. Both times are counted from now.
+func (t *trace) logStopping(taken bool, expectedEnd, processEnd time.Duration) {
+	t.withFields(t.f.Log.Info()).Bool("taken", taken).Dur("expected", expectedEnd).Dur("limit", t.r.answerUntil-t.f.Timer.Now()).
+		Dur("left", processEnd).Msg("request while stopping")
+}
+
 func (t *trace) refuse(sink Sink, x *Refusal) {
 	t.f.Metrics.refused.WithLabelValues(x.Cause).Inc()
 	confirmationAge, _ := t.f.ConfirmationAge()
