Stopping processes: answer what still runs at their end

What callers saw: requests that ran when the grace period of an entry host was over got a closed connection, those of callers and those relayed by other hosts; at control hosts, commands in progress. Cause: http.Server.Serve returns as soon as Shutdown begins, and the run group ends every component when one returns: the 0.3 s (entry) and 1 s (control) that requests have at the end were never given, and nothing answered those that last longer. The log line 'requests cut off at the end of the process' never came before, as the process was gone. Change: a listener's component ends when its last request has; 0.4 s before the end of the grace period the forwarder ends what has no response yet, with a refusal, or an error if it may have run. Control hosts also let calls of other hosts end. In a short grace period the optimistic part is a third of it. Ruled out: gRPC's Serve, which does return only after GracefulStop.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -133,12 +133,14 @@
 }
 
 // withDeadline returns a context that is canceled at a point in time on the timer's clock,
-// with context.DeadlineExceeded as its cause.
+// with context.DeadlineExceeded as its cause, or at the end of the process with errProcessEnds.
 func (f *Forwarder) withDeadline(ctx context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := f.Timer.Once(max(0, deadline-f.Timer.Now()), func() { cancel(context.DeadlineExceeded) })
+	stopEnd := context.AfterFunc(f.stop.context(), func() { cancel(errProcessEnds) })
 	return ctx, func() {
 		stop()
+		stopEnd()
 		cancel(nil)
 	}
 }
@@ -146,7 +148,8 @@
 // finishFailed ends a request without a complete response. An errTruncated in err means
 // that the caller already has the beginning of a response, which is then aborted.
 func (f *Forwarder) finishFailed(ctx context.Context, r *Request, sink Sink, t *trace, err error) {
-	if context.Cause(ctx) != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, context.DeadlineExceeded) && !errors.Is(cause, errProcessEnds) {
 		t.logCallerLeft()
 		sink.Abort()
 		return
@@ -157,8 +160,11 @@
 		sink.Abort()
 		return
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
 		err = refuse(http.StatusServiceUnavailable, causeTimeout, 0)
+	case errors.Is(cause, errProcessEnds):
+		err = refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
 	}
 	if !r.mayHaveRun {
 		f.refund(r)
--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +21,8 @@
 	// Time after StopAt in which expected ends may be underestimated, since most of the grace
 	// period remains.
 	optimisticPeriod = 2500 * time.Millisecond
+	// The same as a fraction of the time until the end of the process, if that is less.
+	optimisticFraction = 1. / 3
 	// Callers' hints of the output length are right at the median; few responses are longer
 	// than twice the hint.
 	hintFactor = 2
@@ -31,13 +36,36 @@
 	// strictFrom is the time from which only requests are accepted that end before processEndAt, as
 	// far as the requests before them show.
 	strictFrom atomic.Int64
+
+	mu sync.Mutex
+	// ctx ends with the process's end, a little before it; nil until it is needed; guarded by mu, as
+	// is cancel
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// errProcessEnds is the cause with which requests that are still served at the end of the process end.
+var errProcessEnds = fmt.Errorf("forwarder: the process ends: %w", context.Canceled)
+
+// context returns a context that ends when the process does.
+func (s *stopState) context() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil {
+		s.ctx, s.cancel = context.WithCancel(context.Background())
+	}
+	return s.ctx
 }
 
 // StopAt announces that the process ends at a point in time on the timer's clock. Requests
-// that are expected to end later are refused from now on.
+// that are expected to end later are refused from now on. Those that have no response by then get a
+// refusal, or an error if they may have run.
 func (f *Forwarder) StopAt(at time.Duration) {
-	f.stop.strictFrom.Store(int64(f.Timer.Now() + optimisticPeriod))
+	now := f.Timer.Now()
+	f.stop.strictFrom.Store(int64(now + min(optimisticPeriod, time.Duration(optimisticFraction*float64(at-now)))))
 	f.stop.processEndAt.Store(int64(at))
+	f.stop.context()
+	f.Timer.Once(at-now, f.stop.cancel)
 }
 
 // checkStopping refuses a request that would outlast the process. The end of the process bounds one that
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -104,7 +104,7 @@
 	g.Add(func() error { return c.controller.Run(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
 	for _, h := range servers {
-		g.Add(h.serve, func(error) { cancel(); _ = h.server.Close() })
+		g.Add(h.serve, func(error) { cancel(); h.close() })
 	}
 	g.Add(func() error {
 		select {
@@ -112,6 +112,7 @@
 		case <-componentsCtx.Done():
 		}
 		shutdownAll(servers, controlShutdownTimeout, c.Log) // before the controller stops, so that commands in progress get their result
+		stopGRPC(grpcServer, shutdownTimeout, clock)
 		return nil
 	}, func(error) { cancel() })
 	c.Log.Info().Bool("first", c.FirstStart).Str("internal", c.Settings.Internal).Msg("control host started")
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -146,12 +146,12 @@
 	g.Add(func() error { return e.refresher.RunStreams(componentsCtx) }, func(error) { cancel() })
 	g.Add(func() error { return grpcServer.Serve(l) }, func(error) { grpcServer.Stop() })
 	for _, h := range servers {
-		g.Add(h.serve, func(error) { cancel(); _ = h.server.Close() })
+		g.Add(h.serve, func(error) { cancel(); h.close() })
 	}
 	g.Add(func() error {
 		err := e.waitForStop(ctx, componentsCtx)
 		var wg sync.WaitGroup
-		wg.Go(func() { stopGRPC(grpcServer, e.Timer) })
+		wg.Go(func() { stopGRPC(grpcServer, shutdownTimeout, e.Timer) })
 		shutdownAll(servers, shutdownTimeout, e.Log)
 		wg.Wait()
 		return err
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -103,6 +103,18 @@
 	name     string
 	listener net.Listener
 	server   *http.Server
+	closed   chan struct{} // closed once no request is served any more
+	close    func()
+}
+
+func newHTTPServer(name string, l net.Listener, server *http.Server) *httpServer {
+	h := &httpServer{name: name, listener: l, server: server, closed: make(chan struct{})}
+	h.close = sync.OnceFunc(func() {
+		_ = server.Close()
+		_ = l.Close()
+		close(h.closed)
+	})
+	return h
 }
 
 // listenAll opens all listeners, or none if one fails.
@@ -115,19 +127,21 @@
 			return nil, fmt.Errorf("starter: %s listener: %w", l.Name, err)
 		}
 		log := log.With().Str("listener", l.Name).Logger()
-		all = append(all, &httpServer{name: l.Name, listener: ln, server: &http.Server{
+		all = append(all, newHTTPServer(l.Name, ln, &http.Server{
 			Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: stdlog.New(log, "", 0),
-		}})
+		}))
 	}
 	return all, nil
 }
 
-// serve serves until the server is closed.
+// serve serves until the server is closed. It does not return while shutdownAll waits for requests, as
+// the end of one component ends the others.
 func (h *httpServer) serve() error {
 	if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("starter: serving %s: %w", h.name, err)
 	}
+	<-h.closed
 	return nil
 }
 
@@ -150,14 +164,13 @@
 
 func closeAll(all []*httpServer) {
 	for _, h := range all {
-		_ = h.server.Close()
-		_ = h.listener.Close()
+		h.close()
 	}
 }
 
-// stopGRPC stops a gRPC server: calls that have arrived have shutdownTimeout to end.
-func stopGRPC(s *grpc.Server, clock *timer.Service) {
-	cancel := clock.Once(shutdownTimeout, s.Stop)
+// stopGRPC stops a gRPC server: calls that have arrived have timeout to end.
+func stopGRPC(s *grpc.Server, timeout time.Duration, clock *timer.Service) {
+	cancel := clock.Once(timeout, s.Stop)
 	defer cancel()
 	s.GracefulStop()
 }
--- a/internal/starter/stop_test.go
+++ b/internal/starter/stop_test.go
@@ -67,3 +67,49 @@
 		}
 	}
 }
+
+// TestServeOutlastsShutdown guards against a component that ends while shutdownAll waits for requests: the
+// end of one component ends the process, and with it the requests that run.
+func TestServeOutlastsShutdown(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-release
+		_, _ = io.WriteString(w, "whole response")
+	})
+	servers, err := listenAll([]Listener{{Name: "control", Address: "127.0.0.1:0", Handler: h}}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	serveEnded, shutdownEnded := make(chan error, 1), make(chan struct{})
+	go func() { serveEnded <- servers[0].serve() }()
+	body := make(chan string, 1)
+	go func() {
+		response, err := http.Post("http://"+servers[0].listener.Addr().String(), "text/plain", http.NoBody)
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		b, _ := io.ReadAll(response.Body) // a short body fails the comparison
+		body <- string(b)
+	}()
+	<-began
+	go func() {
+		shutdownAll(servers, time.Minute, zerolog.Nop())
+		close(shutdownEnded)
+	}()
+	select {
+	case err := <-serveEnded:
+		t.Errorf("serve returned %v while a request runs", err)
+	case <-time.After(100 * time.Millisecond): // long enough for Shutdown to begin
+	}
+	close(release)
+	if got := <-body; got != "whole response" {
+		t.Errorf("the request that ran got %q", got)
+	}
+	<-shutdownEnded
+	if err := <-serveEnded; err != nil {
+		t.Error(err)
+	}
+}
