Stopping host that ends early: requests that just arrived keep the grace period

What callers saw: a host that others can replace ends once it is idle, 4.5 s after the signal. A request that arrived between its last look at the number of requests and Shutdown was admitted for the whole grace period and had 0.3 s. Cause: the time of the shutdown did not depend on when the wait ended, and the forwarder went on admitting. TestClosedForwarder (no network) fails before, as nothing refuses requests while those that were taken go on. Change: after the wait the forwarder refuses all requests, and those taken have until the end that they were admitted for. The line 'requests ended' has the time that is left.

--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -36,6 +36,7 @@
 	// strictFrom is the time from which only requests are accepted that end before processEndAt, as
 	// far as the requests before them show.
 	strictFrom atomic.Int64
+	closed     atomic.Bool // no request is accepted any more
 
 	mu sync.Mutex
 	// ctx ends with the process's end, a little before it; nil until it is needed; guarded by mu, as
@@ -68,6 +69,10 @@
 	f.Timer.Once(at-now, f.stop.cancel)
 }
 
+// Close makes the Forwarder refuse all requests from now on. Those that are being served have until the
+// time that StopAt named.
+func (f *Forwarder) Close() { f.stop.closed.Store(true) }
+
 // checkStopping refuses a request that would outlast the process. The end of the process bounds one that
 // is taken, so that its upstream does not work on without anyone to answer.
 func (f *Forwarder) checkStopping(r *Request, t *trace) error {
@@ -87,7 +92,7 @@
 // endsAfterProcess reports whether the process is stopping and would end before the request.
 func (f *Forwarder) endsAfterProcess(r *Request) bool {
 	at := time.Duration(f.stop.processEndAt.Load())
-	return at > 0 && f.expectedEnd(r) > at
+	return at > 0 && (f.stop.closed.Load() || f.expectedEnd(r) > at)
 }
 
 // expectedEnd estimates the time at which a request that arrives now would end. Once the optimistic
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -109,3 +111,30 @@
 		t.Errorf("after the others have expired: ratio %g, known %v, %d routes", ratio, known, len(h.routes))
 	}
 }
+
+// TestClosedForwarder guards against cutting requests of a host that ends early, as it was idle: one that
+// arrived just before has the rest of the grace period, and later ones are refused.
+func TestClosedForwarder(t *testing.T) {
+	f, clock, request := stoppingForwarder(0.02)
+	plain := schema.RouteKind_ROUTE_UNSAFE
+	f.StopAt(clock.Now() + 7*time.Second)
+	clock.Advance(4 * time.Second)
+	if f.endsAfterProcess(request(plain, 0, 0)) {
+		t.Error("a quick request is refused 3 s before the end")
+	}
+	ctx, cancel := f.withDeadline(t.Context(), clock.Now()+time.Minute)
+	defer cancel()
+	f.Close()
+	if !f.endsAfterProcess(request(plain, 0, 0)) {
+		t.Error("a closed host takes a request")
+	}
+	clock.Advance(2900 * time.Millisecond)
+	if err := ctx.Err(); err != nil {
+		t.Errorf("the request that was taken ended 0.1 s before the process: %v", context.Cause(ctx))
+	}
+	clock.Advance(100 * time.Millisecond)
+	<-ctx.Done()
+	if !errors.Is(context.Cause(ctx), errProcessEnds) {
+		t.Errorf("at the end of the process the cause is %v", context.Cause(ctx))
+	}
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -149,12 +149,15 @@
 		g.Add(h.serve, func(error) { cancel(); h.close() })
 	}
 	g.Add(func() error {
-		err := e.waitForStop(ctx, componentsCtx)
+		endsAt := e.waitForStop(ctx, componentsCtx)
+		// Requests that arrived since the wait ended still have the rest of the grace period.
+		timeout := max(0, endsAt-e.Timer.Now()) + shutdownTimeout
+		e.Forwarder.Close()
 		var wg sync.WaitGroup
-		wg.Go(func() { stopGRPC(grpcServer, shutdownTimeout, e.Timer) })
-		shutdownAll(servers, shutdownTimeout, e.Log)
+		wg.Go(func() { stopGRPC(grpcServer, timeout, e.Timer) })
+		shutdownAll(servers, timeout, e.Log)
 		wg.Wait()
-		return err
+		return nil
 	}, func(error) { cancel() })
 	stopDispatch := e.Timer.Every(dispatchInterval, e.scheduler.DispatchAll)
 	defer stopDispatch()
@@ -168,12 +171,12 @@
 
 // waitForStop waits until ctx ends. Then it waits until every request has ended,
 // minStopDuration has passed and another host of the region is ready to serve callers, but no
-// longer than until graceMargin before the end of the grace period.
-func (e *Entry) waitForStop(ctx, componentsCtx context.Context) error {
+// longer than until graceMargin before the end of the grace period. It returns that time.
+func (e *Entry) waitForStop(ctx, componentsCtx context.Context) time.Duration {
 	select {
 	case <-ctx.Done():
 	case <-componentsCtx.Done():
-		return nil
+		return e.Timer.Now()
 	}
 	stopStartedAt := e.Timer.Now()
 	stopUntil := stopStartedAt + e.GracePeriod - graceMargin
@@ -186,11 +189,11 @@
 			break
 		}
 		if err := e.Timer.Sleep(componentsCtx, stopPollInterval); err != nil {
-			return nil
+			break
 		}
 	}
-	e.Log.Info().Int64("inflight", e.Forwarder.Inflight()).Msg("requests ended")
-	return nil
+	e.Log.Info().Int64("inflight", e.Forwarder.Inflight()).Dur("left", stopUntil-e.Timer.Now()).Msg("requests ended")
+	return stopUntil
 }
 
 // Stopping reports whether the process is shutting down.
