Forward upstreams' reports to the leader before they count as silent there

What callers saw: where upstreams announce themselves every 0.75 s or more often, requests that only another region may serve were refused for 0.7 s in each 3 s: 'no region that may serve it can be reached'. Cause: a control host forwards an unchanged upstream every 3 s, and the leader takes one for silent after four intervals. The load report of its region then has no upstreams. Evidence: in TestStoppingHostAnswersWhatItTakes (interval 0.5 s) the refusals come 2.0 to 2.7 s and 5.0 to 5.7 s after the signal, also without a stop; TestForwardedUpstreamsAreNotSilent fails before at 0.3 s. Change: the time is three intervals where that is less than 3 s. Nothing changes at 1 s and above, which the sites have. Ruled out: the region monitor (no line of it), the list of stopping hosts (known throughout).

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -19,8 +19,9 @@
 	// Time without a report after which an upstream or entry host is removed from the table. It is
 	// longer than any delay with which an old report may still arrive.
 	forgetTimeout = 90 * time.Second
-	// Time after which the report of an unchanged upstream is forwarded to the leader again, and
-	// the age up to which an entry host's report is forwarded.
+	// Time after which the report of an unchanged upstream is forwarded to the leader again if
+	// upstreams announce themselves seldom, and the age up to which an entry host's report is
+	// forwarded.
 	forwardInterval = 3 * time.Second
 	// Time after which the report of an unchanged entry host is forwarded again.
 	hostForwardInterval = 400 * time.Millisecond
@@ -394,14 +395,15 @@
 
 // ReportsToForward returns the reports that upstreams and entry hosts sent to this host itself
 // and that the leader needs, and marks them as forwarded: those that changed at once, unchanged
-// upstreams every forwardInterval and unchanged entry hosts every hostForwardInterval.
+// upstreams before they count as silent there and unchanged entry hosts every hostForwardInterval.
 func (t *Table) ReportsToForward() ([]*schema.Announcement, []*schema.Peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	var c Changes
+	upstreamInterval := min(forwardInterval, (unresponsiveIntervals-1)*t.AnnounceInterval)
 	for _, u := range t.upstreams {
-		if u.direct && (u.forwardedAt == 0 || (now-u.forwardedAt > forwardInterval && u.reportedAt > u.forwardedAt)) {
+		if u.direct && (u.forwardedAt == 0 || (now-u.forwardedAt > upstreamInterval && u.reportedAt > u.forwardedAt)) {
 			u.forwardedAt = now
 			c.Upstreams = append(c.Upstreams, reportWithAge(u, now))
 		}
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -233,3 +233,29 @@
 		}
 	}
 }
+
+// TestForwardedUpstreamsAreNotSilent guards against an upstream that the leader takes for silent between two
+// reports that another control host forwards: then its region counts as one without upstreams.
+func TestForwardedUpstreamsAreNotSilent(t *testing.T) {
+	for _, interval := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+		x, leader := newTable(t), newTable(t)
+		leader.Timer = x.Timer
+		leader.Start()
+		x.AnnounceInterval, leader.AnnounceInterval = interval, interval
+		const step = 100 * time.Millisecond
+		for at := time.Duration(0); at < 30*time.Second; at += step {
+			if at%interval == 0 {
+				x.StoreUpstream(newReport("u", 10, 1+uint64(at/interval), "a:1"), true)
+			}
+			reports, _ := x.ReportsToForward()
+			for _, a := range reports {
+				leader.StoreUpstream(a, false)
+			}
+			leader.Sweep(true)
+			if a := leader.Upstream("u"); a.Silent {
+				t.Fatalf("announced every %s: silent at the leader after %s", interval, at)
+			}
+			x.Timer.Advance(step)
+		}
+	}
+}
