Relay to a region whose only entry host is stopping but still serves

What callers saw: a request bound to a region whose only entry host got SIGTERM was refused at other regions' hosts for the whole grace period: 'no region that may serve it can be reached'. Cause: hosts relay to ready hosts only, and a stopping host is not ready at once. The directory does name such a host for callers of its region. Change: a region without ready hosts is relayed to through stopping ones, which take what ends in time.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,7 +58,7 @@
 	// Borrow asks a control host for a loan of a customer's tokens: at least minTokens, maxTokens if it
 	// can. If none are lent, Borrow returns the time until the tokens would be available.
 	Borrow func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
-	// EntryHosts returns the ready entry hosts of a region.
+	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
 
 	index         atomic.Pointer[index]
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -114,7 +114,7 @@
 	e.Forwarder = &forwarder.Forwarder{
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(),
-		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.Table.ReadyHosts, Borrow: e.refresher.Borrow,
+		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow,
 		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
 	}
@@ -219,6 +219,15 @@
 	return addressesOf(listHosts(entryHosts, domain, e.Settings.Name))
 }
 
+// relayHosts returns the entry hosts of a region that requests may be relayed to: ready ones; if there are
+// none, those that are stopping but still serve.
+func (e *Entry) relayHosts(region string) []*schema.Peer {
+	if ready := e.Table.ReadyHosts(region); len(ready) > 0 {
+		return ready
+	}
+	return e.Table.StoppingHosts(region, e.GracePeriod-graceMargin)
+}
+
 func addressesOf(hosts []*schema.Peer) []string {
 	var all []string
 	for _, h := range hosts {
