--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// Retry-After of a stopping host. It is short because another host can serve at once.
+	// Retry-After of a stopping host. It is short because another host of its region can serve at once.
 	stoppingRetryDelay = 20 * time.Millisecond
 	// Estimated time for each token of a streamed response.
 	timePerToken = 8 * time.Millisecond
@@ -83,12 +83,23 @@
 	now, late := f.Timer.Now(), f.endsAfterProcess(r)
 	t.logStopping(!late, f.expectedEnd(r)-now, at-now)
 	if late {
-		return refuse(http.StatusServiceUnavailable, causeStopping, stoppingRetryDelay)
+		return refuse(http.StatusServiceUnavailable, causeStopping, f.stoppingDelay(now, at))
 	}
 	r.answerUntil = min(r.answerUntil, at)
 	return nil
 }
 
+// stoppingDelay returns the time after which a request that a stopping host refuses may be served: by
+// another host of the region, or once the process has ended, when callers are sent elsewhere.
+func (f *Forwarder) stoppingDelay(now, processEndAt time.Duration) time.Duration {
+	for _, p := range f.EntryHosts(f.Region) {
+		if p.Name != f.Host && p.Ready {
+			return stoppingRetryDelay
+		}
+	}
+	return max(stoppingRetryDelay, processEndAt-now)
+}
+
 // endsAfterProcess reports whether the process is stopping and would end before the request.
 func (f *Forwarder) endsAfterProcess(r *Request) bool {
 	at := time.Duration(f.stop.processEndAt.Load())
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -138,3 +138,26 @@
 		t.Errorf("at the end of the process the cause is %v", context.Cause(ctx))
 	}
 }
+
+// TestRetryAfterOfStoppingHost guards against sending callers back at once to the only host of their region
+// while that is stopping.
+func TestRetryAfterOfStoppingHost(t *testing.T) {
+	f, clock, _ := stoppingForwarder(0.02)
+	f.Host, f.Region = "a", "r"
+	end := clock.Now() + 5*time.Second
+	for _, c := range []struct {
+		name  string
+		hosts []*schema.Peer
+		want  time.Duration
+	}{
+		{"alone", nil, 5 * time.Second},
+		{"only itself is known", []*schema.Peer{{Name: "a", Stopping: true}}, 5 * time.Second},
+		{"another one stops", []*schema.Peer{{Name: "b", Stopping: true}}, 5 * time.Second},
+		{"another one is ready", []*schema.Peer{{Name: "a", Stopping: true}, {Name: "b", Ready: true}}, stoppingRetryDelay},
+	} {
+		f.EntryHosts = func(string) []*schema.Peer { return c.hosts }
+		if got := f.stoppingDelay(clock.Now(), end); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
