Older interface: stopping hosts let calls and commands in progress end

What callers would see: a request of another region that reached a stopping entry host just before its gRPC server closed had 1 s; a control host cut commands in progress (their outcome unknown) at SIGTERM. Cause: the 1 s counted from the beginning of the stop, not from the last request; the controller and its gRPC server were ended together by the signal. Evidence: by reading; no run has shown either with real processes. Change: the entry host's server ends once no request has been in flight for 1 s; a control host refuses commands as not the leader's (nothing was proposed) and waits up to 1 s for those in progress. Ruled out: GracefulStop at control hosts, which also refuses the followers' replies that commit a command.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -170,11 +170,24 @@
 	schema.RegisterControlServiceServer(internalServer, &controller.Service{Controller: c})
 	var g run.Group
 	g.Add(func() error { return internalServer.Serve(l) }, func(error) { internalServer.Stop() })
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error { return c.Run(ctx) }, func(error) { cancel() })
+	controllerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	g.Add(func() error { return c.Run(controllerCtx) }, func(error) { cancel() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+			// Operators get the results of their commands; those that arrive now go to another host.
+			c.Drain(commandStopTimeout)
+		case <-ended:
+		}
+		return nil
+	}, func(error) { close(ended) })
 	return g.Run()
 }
 
+// commandStopTimeout is the time that commands in progress have when a control host stops.
+const commandStopTimeout = time.Second
+
 // runUntilSignal runs the timer, the metrics listener and serve, and stops all of them when one
 // returns. SIGTERM or SIGINT cancels the context of serve, so that the others run until serve
 // has shut down.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -80,6 +80,7 @@
 	ballot        *schema.Ballot
 	waiters       map[uint64]waiter // by index of the entry
 	lastRole      replicator.Role
+	draining      bool       // set by Drain; no command is accepted
 	halted        bool       // set by halt; the replica makes no further steps until it is started again
 	failure       chan error // receives the error that halted the replica
 }
@@ -417,6 +418,22 @@
 	}
 }
 
+// Drain makes the Controller refuse commands, and waits until those in progress have their results, but not
+// longer than timeout.
+func (c *Controller) Drain(timeout time.Duration) {
+	const pollInterval = 10 * time.Millisecond
+	for drainUntil := c.Timer.Now() + timeout; ; {
+		c.mu.Lock()
+		c.draining = true
+		waiting := len(c.waiters)
+		c.mu.Unlock()
+		if waiting == 0 || c.Timer.Now() >= drainUntil {
+			return
+		}
+		_ = c.Timer.Sleep(context.Background(), pollInterval)
+	}
+}
+
 func (c *Controller) startProposal(command *schema.Command, outcome chan *schema.Result) error {
 	command.Time = time.Now().Unix()
 	data, err := proto.Marshal(command)
@@ -426,7 +443,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advanceClock()
-	if c.halted {
+	if c.halted || c.draining {
 		return ErrNotLeader
 	}
 	if c.joinPending(command.GetDocument(), outcome) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -44,7 +44,7 @@
 	// Longest time for which a draining host waits for its requests to finish.
 	drainTimeout  = 10 * time.Minute
 	pruneInterval = 5 * time.Second
-	// Time for which a graceful stop of the gRPC server waits for open streams, after the last
+	// Time for which a graceful stop of the gRPC server waits for open streams after the last
 	// request has finished.
 	grpcStopTimeout = time.Second
 )
@@ -241,16 +241,33 @@
 	for s.inflight.Load() > 0 && ctx.Err() == nil {
 		_ = s.Timer.Sleep(ctx, 20*time.Millisecond)
 	}
+	s.stopGRPC(ctx, grpcServer)
+	s.Log.Info().Msg("stopped")
+	return err
+}
+
+// stopGRPC stops the gRPC server once no request has been in flight for grpcStopTimeout: one of another
+// region may have arrived since drain last looked. Streams of hosts that watch the configuration never end
+// by themselves.
+func (s *Server) stopGRPC(ctx context.Context, grpcServer *grpc.Server) {
 	stopped := make(chan struct{})
 	go func() {
 		grpcServer.GracefulStop()
 		close(stopped)
 	}()
-	// Hosts that watch the configuration never close their streams; all requests have finished
-	// above.
-	cancelStop := s.Timer.Once(grpcStopTimeout, grpcServer.Stop)
-	<-stopped
-	cancelStop()
-	s.Log.Info().Msg("stopped")
-	return err
+	idleSince := s.Timer.Now()
+	for {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+		if s.inflight.Load() > 0 {
+			idleSince = s.Timer.Now()
+		}
+		if s.Timer.Now()-idleSince > grpcStopTimeout || ctx.Err() != nil {
+			grpcServer.Stop()
+		}
+		_ = s.Timer.Sleep(ctx, 20*time.Millisecond)
+	}
 }
