--- a/internal/cataloger/version.go
+++ b/internal/cataloger/version.go
@@ -82,3 +82,16 @@
 	slices.Sort(all)
 	return slices.Compact(all)
 }
+
+// LeavingCount returns the number of upstreams of a pool and version that are leaving.
+func (t *Table) LeavingCount(pool, version string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, u := range t.upstreams {
+		if a := u.report; a.Pool == pool && a.Software == version && !a.Gone && a.Leaving {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -44,7 +44,7 @@
 	}
 	k.c.Log.Info().Uint64("stream", r.Stream).Str("pool", reply.Pool).Str("software", reply.Software).Bool("found", reply.Found).
 		Bool("inferred", reply.Inferred).Bool("conflict", reply.Conflict).Strs("versions", reply.Versions).Strs("regions", reply.Regions).
-		Int("asked", asked).Msg("version of a stream looked up")
+		Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("asked", asked).Msg("version of a stream looked up")
 	return reply, nil
 }
 
