Send to upstreams that are leaving what nothing else can serve

Entry hosts skip an upstream from the moment at which they learn that it is leaving, and control hosts leave its region out of those that have the version; nothing knows when the leaving was acknowledged. Ruled out: the version is known ('found' in 'version of a stream looked up', regions empty, leaving 3); no retry was asked for. Change: hosts tell each other the time since the first acknowledgement, as one moment with an identity, so that each way can only make it earlier. An upstream that is leaving is a last resort until half a second before drainMs after it: for streams of its version, for requests that no region serves otherwise, and for relayed ones. A connection that takes too long is not used. Within an answer they stay unused.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -35,6 +35,11 @@
 	Timer *timer.Service
 	// AnnounceInterval is the time between two announcements of an upstream.
 	AnnounceInterval time.Duration
+	// DrainTime is the time, from the first acknowledgement that an upstream is leaving, for which it may
+	// be sent requests that nothing else can serve. 0: none.
+	DrainTime time.Duration
+	// Settled reports whether what other hosts acknowledged to upstreams is in this table. Nil: never.
+	Settled func() bool
 	// IsMirror is set if all reports come from another table, which marks what no longer reports.
 	IsMirror bool
 	// IsFirst is set if no upstream served before the table was started, as the system had not started.
@@ -68,6 +73,7 @@
 	direct      bool
 	forwardedAt time.Duration
 	limit       *namedLimit // nil if it named none
+	leaving     leavingTime
 }
 
 // entryHost is the newest report of an entry host.
@@ -108,18 +114,28 @@
 		// The upstream does not say which of its processes ended: it is the known one.
 		a.Incarnation = old.report.Incarnation
 	}
-	limit := a.Limit
-	a.Limit = nil
+	limit, reported := a.Limit, reportedLeaving(a, now)
+	a.Limit, a.Since, a.Claim = nil, nil, 0
 	t.versions.record(a.Pool, a.Software, reportedAt)
 	if old != nil && !newerUpstream(a, old.report) {
-		// The limit comes from answers, so it may change while the upstream's report does not.
-		return limit != nil && a.Incarnation == old.report.Incarnation && t.storeLimit(old, limit, false)
+		if a.Incarnation != old.report.Incarnation {
+			return false
+		}
+		// Neither the limit, which comes from answers, nor the time at which the upstream began to leave
+		// is part of its report: they may change while that does not.
+		changed := t.storeLeaving(old, reported)
+		return limit != nil && t.storeLimit(old, limit, false) || changed
 	}
 	if !t.claimAddress(a) {
 		return false
 	}
 	updated := &upstream{report: a, reportedAt: reportedAt, direct: direct}
+	updated.leaving = reported
+	if direct && a.Leaving {
+		updated.leaving = t.leavingSince(a, old, now)
+	}
 	if old != nil && old.report.Incarnation == a.Incarnation {
+		updated.leaving, _ = old.leaving.merge(updated.leaving)
 		carryOver(a, old.report)
 		updated.reportedAt = max(reportedAt, old.reportedAt)
 		updated.forwardedAt = old.forwardedAt
@@ -381,6 +397,9 @@
 	if u.limit != nil {
 		a.Limit = u.limit.withAge(u.report, now)
 	}
+	if u.leaving.known() {
+		a.Since, a.Claim = proto.Float64((now - u.leaving.at).Seconds()), u.leaving.claim
+	}
 	return a
 }
 
--- /dev/null
+++ b/internal/cataloger/leaving.go
@@ -0,0 +1,137 @@
+package cataloger
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// LeavingMargin is the time before the end of DrainTime from which an upstream that is leaving gets no
+// request any more: a request must reach it in time, over a new connection if need be.
+const LeavingMargin = 500 * time.Millisecond
+
+// leavingTime is a time before which no host had acknowledged that an upstream is leaving. The zero value
+// is not known.
+type leavingTime struct {
+	at time.Duration
+	// claim identifies the acknowledgement by whose report the time is known. On its way from host to
+	// host the time only becomes earlier, by the delays that must be allowed for.
+	claim uint64
+}
+
+func (l leavingTime) known() bool { return l.claim != 0 }
+
+// merge returns what two times of one process say together, and whether that names another
+// acknowledgement than l: of two acknowledgements the earlier one counts, of two times of one of them the
+// later one, which allows for less.
+func (l leavingTime) merge(other leavingTime) (merged leavingTime, changed bool) {
+	switch {
+	case !other.known():
+		return l, false
+	case !l.known():
+		return other, true
+	case l.claim == other.claim:
+		l.at = max(l.at, other.at)
+		return l, false
+	case other.at < l.at:
+		return other, true
+	}
+	return l, false
+}
+
+// reportedLeaving returns the time that a report from another host names.
+func reportedLeaving(a *schema.Announcement, now time.Duration) leavingTime {
+	if a.Since == nil || !(*a.Since >= 0) || a.Claim == 0 {
+		return leavingTime{}
+	}
+	// Seconds are rounded on each way: the time must not become later.
+	const rounding = time.Microsecond
+	return leavingTime{now - time.Duration(*a.Since*float64(time.Second)) - rounding, a.Claim}
+}
+
+// leavingSince returns the time for an upstream's own report that it is leaving. Unless the table is
+// settled, another host may have acknowledged an earlier one, but not before the last report that says
+// otherwise; without such a report the time is not known. Old is what the table has of the upstream.
+func (t *Table) leavingSince(a *schema.Announcement, old *upstream, now time.Duration) leavingTime {
+	switch {
+	case old == nil || old.report.Incarnation != a.Incarnation || old.report.Leaving:
+		return leavingTime{}
+	case a.Number == old.report.Number+1, t.Settled != nil && t.Settled():
+		return leavingTime{now, rand.Uint64() | 1}
+	}
+	return leavingTime{old.reportedAt, rand.Uint64() | 1}
+}
+
+// storeLeaving stores the time that another host names for a process that is leaving. It reports whether
+// hosts need to know. The caller holds mu.
+func (t *Table) storeLeaving(u *upstream, l leavingTime) bool {
+	if !u.report.Leaving {
+		return false
+	}
+	var changed bool
+	if u.leaving, changed = u.leaving.merge(l); !changed {
+		return false
+	}
+	t.revision++
+	u.revision = t.revision
+	u.forwardedAt = 0
+	return true
+}
+
+// AddDelay accounts for the time that a report may have taken from the host that sent it: what is counted
+// from an acknowledgement must not seem later than it was.
+func AddDelay(a *schema.Announcement, d time.Duration) {
+	if a.Since != nil {
+		*a.Since += d.Seconds()
+	}
+}
+
+// usableUntil returns the time until which an upstream that is leaving may be sent what nothing else can
+// serve; 0 if it may not. The caller holds mu.
+func (t *Table) usableUntil(u *upstream) time.Duration {
+	if !u.report.Leaving || u.report.Gone || !u.leaving.known() || t.DrainTime <= LeavingMargin {
+		return 0
+	}
+	return u.leaving.at + t.DrainTime - LeavingMargin
+}
+
+// LeavingUntil returns the times, on Timer's clock, until which upstreams that are leaving may be sent what
+// nothing else can serve, by name.
+func (t *Table) LeavingUntil() map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := map[string]time.Duration{}
+	for name, u := range t.upstreams {
+		if until := t.usableUntil(u); until > 0 {
+			all[name] = until
+		}
+	}
+	return all
+}
+
+// RegionsWith returns the regions with an upstream of a pool and version that takes requests, sorted. If
+// all of that version are leaving, it returns the regions of those that may still be used, and true.
+func (t *Table) RegionsWith(pool, version string) (regions []string, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var staying, usable []string
+	for _, u := range t.upstreams {
+		a := u.report
+		switch {
+		case a.Pool != pool || a.Software != version || a.Gone:
+		case !a.Leaving:
+			staying = append(staying, a.Region)
+		case now < t.usableUntil(u):
+			usable = append(usable, a.Region)
+		}
+	}
+	if len(staying) > 0 {
+		slices.Sort(staying)
+		return slices.Compact(staying), false
+	}
+	slices.Sort(usable)
+	return slices.Compact(usable), len(usable) > 0
+}
--- /dev/null
+++ b/internal/cataloger/leaving_test.go
@@ -0,0 +1,248 @@
+package cataloger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+const testDrainTime = 4 * time.Second
+
+// leavingTables returns n tables on one clock.
+func leavingTables(n int) (*timer.Service, []*Table) {
+	clock := &timer.Service{Clock: &timer.ManualClock{}}
+	clock.Advance(time.Hour)
+	var all []*Table
+	for range n {
+		x := &Table{Timer: clock, AnnounceInterval: time.Second, DrainTime: testDrainTime}
+		x.Start()
+		all = append(all, x)
+	}
+	return clock, all
+}
+
+func leavingReport(number uint64) *schema.Announcement {
+	a := newReport("u", 1, number, "a:1")
+	a.Leaving = true
+	return a
+}
+
+// left returns the time for which a table says that upstream u may still be used, 0 if it may not.
+func left(x *Table) time.Duration { return max(0, x.LeavingUntil()["u"]-x.Timer.Now()) }
+
+// TestLeavingIsCountedFromFirstAck guards against using an upstream that is leaving for longer than DrainTime
+// after the first host acknowledged that, whichever host receives its later reports.
+func TestLeavingIsCountedFromFirstAck(t *testing.T) {
+	whole := testDrainTime - LeavingMargin
+	for _, c := range []struct {
+		name string
+		play func(clock *timer.Service, x, other *Table)
+		want time.Duration
+	}{
+		{"the report follows the last one", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+		}, whole},
+		{"later reports change nothing", func(clock *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			clock.Advance(time.Second)
+			x.StoreUpstream(leavingReport(3), true)
+			x.StoreUpstream(newReport("u", 1, 4, "a:1"), true)
+		}, whole - time.Second},
+		{"another host may have received the first one", func(clock *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			clock.Advance(1200 * time.Millisecond)
+			x.StoreUpstream(leavingReport(3), true)
+		}, whole - 1200*time.Millisecond},
+		{"all hosts are in contact", func(clock *timer.Service, x, _ *Table) {
+			x.Settled = func() bool { return true }
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			clock.Advance(1200 * time.Millisecond)
+			x.StoreUpstream(leavingReport(3), true)
+		}, whole},
+		{"all hosts are in contact, but it was never known to stay", func(_ *timer.Service, x, _ *Table) {
+			x.Settled = func() bool { return true }
+			x.StoreUpstream(leavingReport(3), true)
+		}, 0},
+		{"a host that has just started", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(leavingReport(2), true)
+		}, 0},
+		{"a host that has just started learns the time", func(clock *timer.Service, x, other *Table) {
+			other.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			other.StoreUpstream(leavingReport(2), true)
+			clock.Advance(time.Second)
+			x.StoreUpstream(leavingReport(3), true)
+			for _, a := range other.ChangesSince(0, 0, "").Upstreams {
+				AddDelay(a, 200*time.Millisecond)
+				x.StoreUpstream(a, false)
+			}
+		}, whole - 1200*time.Millisecond},
+		{"an earlier time is learned later", func(clock *timer.Service, x, other *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			other.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			other.StoreUpstream(leavingReport(2), true)
+			clock.Advance(1500 * time.Millisecond)
+			x.StoreUpstream(leavingReport(2), true)
+			reports, _ := other.ReportsToForward()
+			x.StoreUpstream(reports[0], false)
+		}, whole - 1500*time.Millisecond},
+		{"a later time is learned", func(clock *timer.Service, x, other *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			clock.Advance(time.Second)
+			other.StoreUpstream(newReport("u", 1, 2, "a:1"), true)
+			other.StoreUpstream(leavingReport(3), true)
+			reports, _ := other.ReportsToForward()
+			x.StoreUpstream(reports[0], false)
+		}, whole - time.Second},
+		{"a host of an earlier version names no time", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(leavingReport(2), false)
+		}, 0},
+		{"it has ended", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			x.StoreUpstream(&schema.Announcement{Name: "u", Incarnation: 1, Number: 3, Gone: true, Leaving: true}, true)
+		}, 0},
+		{"another one has its address", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			x.StoreUpstream(newReport("v", 9, 1, "a:1"), true)
+		}, 0},
+		{"another process under the name is leaving", func(clock *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			clock.Advance(2 * time.Second)
+			x.StoreUpstream(newReport("u", 2, 1, "a:1"), true)
+			next := leavingReport(2)
+			next.Incarnation = 2
+			x.StoreUpstream(next, true)
+		}, whole},
+		{"another process under the name serves", func(_ *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			x.StoreUpstream(newReport("u", 2, 1, "a:1"), true)
+		}, 0},
+		{"the time is over", func(clock *timer.Service, x, _ *Table) {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			x.StoreUpstream(leavingReport(2), true)
+			clock.Advance(whole)
+		}, 0},
+	} {
+		clock, tables := leavingTables(2)
+		c.play(clock, tables[0], tables[1])
+		if got := left(tables[0]).Round(time.Millisecond); got != c.want {
+			t.Errorf("%s: it may be used for %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestLeavingThroughHops guards against adding time on the way: whatever the hops, a table never lets an
+// upstream be used later than the first host that acknowledged its leaving.
+func TestLeavingThroughHops(t *testing.T) {
+	clock, tables := leavingTables(5)
+	tables[0].StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+	tables[0].StoreUpstream(leavingReport(2), true)
+	ackedAt := clock.Now()
+	const transit = 150 * time.Millisecond
+	for i := range tables[1:] {
+		sentAt := clock.Now()
+		changes := tables[i].ChangesSince(0, 0, "")
+		clock.Advance(transit)
+		for _, a := range changes.Upstreams {
+			AddDelay(a, clock.Now()-sentAt)
+			tables[i+1].StoreUpstream(a, false)
+		}
+	}
+	for i, x := range tables {
+		until := x.LeavingUntil()["u"]
+		if until == 0 || until > ackedAt+testDrainTime-LeavingMargin {
+			t.Errorf("table %d: until %s after the acknowledgement, want at most %s", i, until-ackedAt, testDrainTime-LeavingMargin)
+		}
+	}
+}
+
+// TestLeavingSettles guards against hosts that go on telling each other a time, which becomes earlier with
+// each message: once all know an acknowledgement, nothing changes any more.
+func TestLeavingSettles(t *testing.T) {
+	clock, tables := leavingTables(4)
+	leader, others := tables[0], tables[1:]
+	for i, x := range others {
+		x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+		x.StoreUpstream(leavingReport(uint64(2+i)), true)
+		clock.Advance(200 * time.Millisecond)
+	}
+	ackedAt := clock.Now() - time.Duration(len(others))*200*time.Millisecond
+	cursors := make([]Changes, len(others))
+	messages := 0
+	exchange := func() {
+		for i, x := range others {
+			reports, _ := x.ReportsToForward()
+			messages += len(reports)
+			for _, a := range reports {
+				AddDelay(a, 300*time.Millisecond)
+				leader.StoreUpstream(a, false)
+			}
+			cursors[i] = leader.ChangesSince(cursors[i].Cursor, cursors[i].Process, "")
+			messages += len(cursors[i].Upstreams)
+			for _, a := range cursors[i].Upstreams {
+				AddDelay(a, 160*time.Millisecond)
+				x.StoreUpstream(a, false)
+			}
+		}
+	}
+	for range 10 {
+		exchange()
+	}
+	settled := messages
+	for range 20 {
+		exchange()
+	}
+	if messages != settled {
+		t.Errorf("%d more messages after all know the time", messages-settled)
+	}
+	for i, x := range tables {
+		until := x.LeavingUntil()["u"] - ackedAt
+		if whole := testDrainTime - LeavingMargin; until > whole || until < whole-time.Second {
+			t.Errorf("table %d: until %s after the first acknowledgement, want %s or up to 1 s less", i, until, whole)
+		}
+	}
+}
+
+// TestRegionsOfLeavingVersion guards against sending a stream to an upstream that is leaving while another
+// one can go on with it, and against refusing it while that is the only one.
+func TestRegionsOfLeavingVersion(t *testing.T) {
+	clock, tables := leavingTables(1)
+	x := tables[0]
+	store := func(name, region string, number uint64, leaving bool) {
+		a := newReport(name, 1, number, name+":1")
+		a.Region, a.Software, a.Leaving = region, "v1", leaving
+		x.StoreUpstream(a, true)
+	}
+	check := func(when string, wantLeaving bool, want ...string) {
+		t.Helper()
+		got, leaving := x.RegionsWith("p", "v1")
+		if leaving != wantLeaving || len(got) != len(want) {
+			t.Fatalf("%s: %v, leaving %v, want %v, %v", when, got, leaving, want, wantLeaving)
+		}
+		for i := range want {
+			if got[i] != want[i] {
+				t.Errorf("%s: %v, want %v", when, got, want)
+			}
+		}
+	}
+	store("a", "ra", 1, false)
+	store("b", "rb", 1, false)
+	check("both stay", false, "ra", "rb")
+	store("a", "ra", 2, true)
+	check("one is leaving", false, "rb")
+	clock.Advance(time.Second)
+	store("b", "rb", 2, true)
+	check("both are leaving", true, "ra", "rb")
+	clock.Advance(testDrainTime - LeavingMargin - time.Second)
+	check("the time of one is over", true, "rb")
+	clock.Advance(time.Second)
+	check("the time of both is over", false)
+}
--- a/internal/cataloger/version.go
+++ b/internal/cataloger/version.go
@@ -69,20 +69,6 @@
 	return slices.Compact(all), observed
 }
 
-// RegionsWith returns the regions with an upstream of a pool and version that takes requests, sorted.
-func (t *Table) RegionsWith(pool, version string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var all []string
-	for _, u := range t.upstreams {
-		if a := u.report; a.Pool == pool && a.Software == version && !a.Gone && !a.Leaving {
-			all = append(all, a.Region)
-		}
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 // LeavingCount returns the number of upstreams of a pool and version that are leaving.
 func (t *Table) LeavingCount(pool, version string) int {
 	t.mu.Lock()
--- a/internal/cataloger/version_test.go
+++ b/internal/cataloger/version_test.go
@@ -36,11 +36,13 @@
 	check("one has ended", time.Minute, "v1", "v2")
 	store("b", "1:2", "p", "v4", 2, 1, false)
 	check("one started again with another version", time.Minute, "v1", "v2", "v4")
-	if diff := cmp.Diff([]string{"rb"}, table.RegionsWith("p", "v4")); diff != "" {
-		t.Errorf("regions: -want +got\n%s", diff)
+	if got, leaving := table.RegionsWith("p", "v4"); leaving || cmp.Diff([]string{"rb"}, got) != "" {
+		t.Errorf("regions %v, leaving %v, want rb", got, leaving)
 	}
-	if got := append(table.RegionsWith("p", "v1"), table.RegionsWith("p", "v2")...); len(got) > 0 {
-		t.Errorf("regions %v have versions that ended", got)
+	for _, version := range []string{"v1", "v2"} {
+		if got, leaving := table.RegionsWith("p", version); len(got) > 0 || leaving {
+			t.Errorf("regions %v have %s, which ended", got, version)
+		}
 	}
 	for range 70 {
 		clock.Advance(time.Second)
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -71,6 +71,7 @@
 	Streams *resumer.Index
 
 	lender     *allocator.Lender
+	contacts   contacts
 	c          *Controller
 	consultNow chan struct{} // ends the wait before the next Consult call
 	searches   atomic.Int32  // questions to all control hosts that are open
@@ -104,6 +105,7 @@
 	k.c = c
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
+	k.Table.Settled = k.settled
 	k.findings = &quarantiner.Link{Source: k.Evidence, Register: k.Quarantine}
 	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
@@ -197,9 +199,11 @@
 
 func (k *Cluster) updateMembership() {
 	now := k.c.Timer.Now()
-	if v := k.c.view.Load(); !v.holdsLease(now) {
+	v := k.c.view.Load()
+	if !v.holdsLease(now) {
 		return
 	}
+	k.contacts.check(k.otherAddresses(v), now)
 	k.mu.Lock()
 	var candidates []candidate
 	for id, c := range k.candidates {
@@ -214,6 +218,22 @@
 	k.c.proposeNextChange(candidates)
 }
 
+// otherAddresses returns the addresses of the other members.
+func (k *Cluster) otherAddresses(v *view) []string {
+	return slices.DeleteFunc(v.memberAddresses(), func(address string) bool { return address == k.Self.Address })
+}
+
+// settled reports whether what other control hosts acknowledged to upstreams is known here.
+func (k *Cluster) settled() bool {
+	now := k.c.Timer.Now()
+	if k.c.view.Load().holdsLease(now) {
+		return k.contacts.steady(now)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lastReply.GetSteady() && now-k.lastReplyRequestedAt <= maxContactAge
+}
+
 // consultLoop calls the leader with the reports that this host received, and confirms what
 // is committed. The leader only gives itself an allotment.
 func (k *Cluster) consultLoop(ctx context.Context) {
@@ -342,7 +362,9 @@
 }
 
 func (k *Cluster) storeReply(r *schema.ConsultReply, leader string, requestedAt time.Duration) {
+	transit := k.c.Timer.Now() - requestedAt
 	for _, a := range r.Upstreams {
+		cataloger.AddDelay(a, transit)
 		k.Table.StoreUpstream(a, false)
 	}
 	for _, p := range r.Peers {
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -14,6 +16,10 @@
 
 const leaderRole = replicator.Leader
 
+// maxTransitTime is the longest time that a message between control hosts takes while no link and no host
+// is disturbed: the way to another region and the processing at both ends.
+const maxTransitTime = 300 * time.Millisecond
+
 // ClusterService implements the gRPC service of a Cluster, whose controller must run.
 type ClusterService struct {
 	schema.UnimplementedClusterServiceServer
@@ -45,11 +51,14 @@
 func (s *ClusterService) Consult(_ context.Context, r *schema.ConsultRequest) (*schema.ConsultReply, error) {
 	k := s.Cluster
 	v := k.c.view.Load()
-	if !v.holdsLease(k.c.Timer.Now()) {
+	now := k.c.Timer.Now()
+	if !v.holdsLease(now) {
 		return &schema.ConsultReply{}, nil
 	}
-	reply := &schema.ConsultReply{Leader: true, Commit: v.commitIndex, Controls: v.memberAddresses()}
+	k.contacts.record(r.Address, now)
+	reply := &schema.ConsultReply{Leader: true, Steady: k.contacts.steady(now), Commit: v.commitIndex, Controls: v.memberAddresses()}
 	for _, a := range r.Upstreams {
+		cataloger.AddDelay(a, maxTransitTime)
 		k.Table.StoreUpstream(a, false)
 	}
 	for _, p := range r.Peers {
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -26,7 +26,9 @@
 func (s *ClusterService) FindStream(ctx context.Context, r *schema.FindStreamRequest) (*schema.FindStreamReply, error) {
 	k := s.Cluster
 	if known := r.Known; known != nil {
-		return &schema.FindStreamReply{Found: true, Pool: known.Pool, Software: known.Software, Regions: k.Table.RegionsWith(known.Pool, known.Software)}, nil
+		reply := &schema.FindStreamReply{Found: true, Pool: known.Pool, Software: known.Software}
+		reply.Regions, reply.Leaving = k.Table.RegionsWith(known.Pool, known.Software)
+		return reply, nil
 	}
 	reply := resumer.Find(r, k.Streams, k.Table)
 	if r.Direct {
@@ -40,11 +42,11 @@
 		reply = resumer.Combine(r, append(replies, resumer.Find(r, k.Streams, k.Table)))
 	}
 	if reply.Found || reply.Inferred {
-		reply.Regions = k.Table.RegionsWith(reply.Pool, reply.Software)
+		reply.Regions, reply.Leaving = k.Table.RegionsWith(reply.Pool, reply.Software)
 	}
 	k.c.Log.Info().Uint64("stream", r.Stream).Str("pool", reply.Pool).Str("software", reply.Software).Bool("found", reply.Found).
 		Bool("inferred", reply.Inferred).Bool("conflict", reply.Conflict).Strs("versions", reply.Versions).Strs("regions", reply.Regions).
-		Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("asked", asked).Msg("version of a stream looked up")
+		Bool("usable", reply.Leaving).Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("asked", asked).Msg("version of a stream looked up")
 	return reply, nil
 }
 
@@ -59,12 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	question := &schema.FindStreamRequest{Stream: r.Stream, Pool: r.Pool, Within: r.Within, Direct: true}
-	var addresses []string
-	for _, address := range k.c.view.Load().memberAddresses() {
-		if address != k.Self.Address {
-			addresses = append(addresses, address)
-		}
-	}
+	addresses := k.otherAddresses(k.c.view.Load())
 	results := make(chan *schema.FindStreamReply, len(addresses))
 	for _, address := range addresses {
 		go func() { results <- k.askForStream(ctx, address, question) }()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -42,7 +42,10 @@
 // serveLocally sends a request to upstreams of this region, one after another, until one
 // answers or no further attempt is allowed.
 func (f *Forwarder) serveLocally(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState) error {
-	f.Budget.CountRequest(r.pool)
+	if !r.counted {
+		r.counted = true
+		f.Budget.CountRequest(r.pool)
+	}
 	excluded := map[string]bool{}
 	for {
 		queuedAt := f.Timer.Now()
@@ -171,7 +174,7 @@
 		return errors.Join(pooler.ErrNotSent, err)
 	}
 	s.run = f.observe(r, reservation)
-	call, err := f.Pool.Send(ctx, reservation.Address, request, !r.repeatable())
+	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
 	}
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -53,6 +53,15 @@
 			}
 		}
 	}
+	if r.lastResort {
+		// Load reports leave out upstreams that are leaving.
+		for _, region := range r.resumeRegions {
+			known := slices.ContainsFunc(all, func(x regionLoad) bool { return x.region == region })
+			if region != f.Region && r.allows(region) && !known {
+				all = append(all, regionLoad{region: region})
+			}
+		}
+	}
 	slices.SortFunc(all, func(a, b regionLoad) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.region, b.region)) })
 	return all
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -81,7 +81,7 @@
 	m := &schema.RelayRequest{
 		Id: r.ID, Route: r.Host, Customer: r.Customer(), Method: r.Method, Path: r.Path, Body: r.Body,
 		Left: (r.answerUntil - now).Seconds(), Age: (now - r.ArrivedAt).Seconds(), Objective: (r.objectiveAt - now).Seconds(), Pool: r.pool,
-		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion,
+		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion, Leaving: r.lastResort,
 	}
 	if r.software != nil {
 		m.Resume = &schema.Resume{After: r.LastEventID, Request: r.Resumes, Software: *r.software}
@@ -226,7 +226,7 @@
 	r := &Request{
 		ID: m.Id, Host: m.Route, Method: m.Method, Path: m.Path, Header: headerOf(m.Headers), Body: m.Body,
 		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, ArrivedAt: now - seconds(m.Age),
-		DeadlineAt: now + seconds(m.Left), relayed: true, priority: int(m.Priority), pool: m.Pool,
+		DeadlineAt: now + seconds(m.Left), relayed: true, lastResort: m.Leaving, priority: int(m.Priority), pool: m.Pool,
 	}
 	if m.Resume != nil {
 		r.LastEventID, r.Resumes, r.software = m.Resume.After, m.Resume.Request, &m.Resume.Software
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -54,6 +54,8 @@
 	mayHaveRun    bool
 	software      *string  // version of the software that began the stream; nil before its first event
 	resumeRegions []string // that have upstreams of that version; nil: not known
+	counted       bool     // it is in the Forwarder's Budget
+	lastResort    bool     // only an upstream that is leaving can serve it
 	recorded      bool     // the stream that it began is in the Forwarder's Streams
 }
 
--- a/internal/forwarder/resume.go
+++ b/internal/forwarder/resume.go
@@ -90,6 +90,7 @@
 		return resumer.Origin{}, "", unknown
 	}
 	r.resumeRegions = append([]string{}, reply.Regions...) // not nil: they are known
+	r.lastResort = reply.Leaving
 	source := foundElsewhere
 	switch {
 	case found:
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -23,13 +23,34 @@
 		}
 	}
 	err := f.serveLocally(ctx, r, sink, t, s)
+	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
 	noSlot := errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
 	if noSlot && r.reached == 0 && ctx.Err() == nil {
 		err = f.serveRemotely(ctx, r, sink, t, err)
 	}
+	if noUpstream && r.reached == 0 && isNotServed(err) && ctx.Err() == nil {
+		err = f.serveAsLastResort(ctx, r, sink, t, s, err)
+	}
 	return f.finishAttempts(s, sink, err)
 }
 
+// serveAsLastResort sends a request that nothing else serves to an upstream of this region that is leaving.
+// If there is none that still takes it, it returns reason.
+func (f *Forwarder) serveAsLastResort(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState, reason error) error {
+	r.lastResort = true
+	if err := f.serveLocally(ctx, r, sink, t, s); !errors.Is(err, scheduler.ErrNoUpstream) {
+		return err
+	}
+	return reason
+}
+
+// isNotServed reports whether err means that no upstream was found for a request, here or in another
+// region.
+func isNotServed(err error) bool {
+	var r *Refusal
+	return errors.Is(err, scheduler.ErrNoUpstream) || errors.As(err, &r) && (r.Cause == causeNoUpstream || r.Cause == causeNoHome)
+}
+
 // serveRemotely relays a request to other regions, the least loaded first, until one has a
 // free slot. Otherwise it returns the last region's error, or reason if none was asked.
 func (f *Forwarder) serveRemotely(ctx context.Context, r *Request, sink Sink, t *trace, reason error) error {
@@ -66,6 +87,6 @@
 	return &scheduler.Request{
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
-		Software: r.software,
+		Software: r.software, LastResort: r.lastResort,
 	}
 }
--- a/internal/pooler/endless_test.go
+++ b/internal/pooler/endless_test.go
@@ -77,7 +77,7 @@
 		},
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), false)
+		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), SendOptions{})
 		if call != nil || !errors.Is(err, ErrMalformedResponse) {
 			t.Errorf("%s: got call %v, error %v, want ErrMalformedResponse", name, call, err)
 		}
@@ -100,7 +100,7 @@
 		"chunk size digits": {prefix: head, unit: "0"},
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), false)
+		call, err := newPool(t).Send(ctx, u.listen(t), newRequest(""), SendOptions{})
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -118,15 +118,26 @@
 	closed           bool
 }
 
-// Send writes a request and reads the header of the response. If recentOnly is set, it reuses a
-// connection only if that has been idle for less than recentIdleTimeout. When ctx ends, the
+// SendOptions says how a request may be sent.
+type SendOptions struct {
+	// RecentOnly: a connection is reused only if it has been idle for less than recentIdleTimeout.
+	RecentOnly bool
+	// Until is the time on the clock of Timer after which the request is not sent; 0: none.
+	Until time.Duration
+}
+
+// Send writes a request and reads the header of the response. When ctx ends, the
 // connection is closed, even while the body is read. The error wraps ErrNotSent,
 // ErrConnectionLost or ErrMalformedResponse.
-func (p *Pool) Send(ctx context.Context, address string, r *http.Request, recentOnly bool) (*Call, error) {
-	c, reused, err := p.connect(ctx, address, recentOnly)
+func (p *Pool) Send(ctx context.Context, address string, r *http.Request, o SendOptions) (*Call, error) {
+	c, reused, err := p.connect(ctx, address, o.RecentOnly)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if o.Until > 0 && p.Timer.Now() > o.Until {
+		_ = c.Conn.Close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
+	}
 	call := &Call{pool: p, conn: c, Reused: reused, writeDone: make(chan error, 1)}
 	call.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	if err := call.write(r); err != nil {
@@ -159,6 +170,8 @@
 	return nil
 }
 
+var errTooLate = errors.New("pooler: the connection was established too late")
+
 func writeRequest(w io.Writer, r *http.Request) error {
 	b := bufio.NewWriterSize(w, bufferBytes)
 	if err := r.Write(b); err != nil {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -77,7 +77,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	call, err := p.Send(ctx, address, newRequest(body), false)
+	call, err := p.Send(ctx, address, newRequest(body), SendOptions{})
 	if err != nil {
 		return "", false, err
 	}
@@ -157,7 +157,7 @@
 		"no answer at all":   {newUpstream(t, []string{"hello\r\n\r\n"}), ErrMalformedResponse},
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-		call, err := p.Send(ctx, c.address, newRequest(""), false)
+		call, err := p.Send(ctx, c.address, newRequest(""), SendOptions{})
 		if !errors.Is(err, c.want) {
 			t.Errorf("%s: got call %v, error %v, want error %v", name, call, err, c.want)
 		}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -247,10 +247,13 @@
 			return err
 		}
 	}
+	transit := r.Timer.Now() - sentAt
 	for _, a := range reply.Upstreams {
+		cataloger.AddDelay(a, transit)
+		since, known := a.GetSince(), a.Since != nil
 		if r.Table.StoreUpstream(a, false) {
 			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
-				Float64("age", a.Age).Bool("leaving", a.Leaving).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("cold", a.Cold).
+				Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", since).Bool("dated", known).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("cold", a.Cold).
 				Float64("limit", a.Limit.GetRate()).Bool("limited", a.Limit != nil && !a.Limit.Ended).Str("control", r.controlAddress).Msg("upstream learned")
 		}
 	}
--- a/internal/resumer/finder.go
+++ b/internal/resumer/finder.go
@@ -12,8 +12,6 @@
 	// Versions returns the versions that upstreams of a pool had within a time, sorted, and for how long
 	// this process has observed them.
 	Versions(pool string, within time.Duration) (versions []string, observed time.Duration)
-	// RegionsWith returns the regions with an upstream of a pool and version that takes requests, sorted.
-	RegionsWith(pool, version string) []string
 }
 
 const (
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -13,16 +13,21 @@
 
 // candidates returns the upstreams that may take w, from the first of these groups that is
 // not empty: healthy ones; those with too high a failure rate for a request that cannot be
-// repeated; those that are unresponsive or banned.
+// repeated; those that are leaving but may still serve a request of last resort; those that are
+// unresponsive or banned.
 func (s *Scheduler) candidates(w *Request, now time.Duration) []*upstream {
 	c := s.Config()
-	var healthy, unreliable, unavailable []*upstream
+	var healthy, unreliable, leaving, unavailable []*upstream
 	for _, u := range s.sortedUpstreams {
 		a := u.announcement
-		if a.Pool != w.Pool || a.Leaving || a.Gone || w.Excluded[a.Name] || w.Software != nil && a.Software != *w.Software || c.Evacuated(a.Domain) {
+		if a.Pool != w.Pool || a.Gone || w.Excluded[a.Name] || w.Software != nil && a.Software != *w.Software || c.Evacuated(a.Domain) {
 			continue
 		}
 		switch {
+		case a.Leaving:
+			if u.usableAsLastResort(w, now) {
+				leaving = append(leaving, u)
+			}
 		case a.Silent || now < u.bannedUntil:
 			unavailable = append(unavailable, u)
 		case w.Unrepeatable && u.failureRate > maxFailureRate:
@@ -36,6 +41,8 @@
 		return healthy
 	case len(unreliable) > 0:
 		return unreliable
+	case len(leaving) > 0:
+		return leaving
 	}
 	return unavailable
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,6 +80,8 @@
 	Excluded map[string]bool
 	// Software is the version of the software that the upstream must run; nil: any.
 	Software *string
+	// LastResort is set if nothing but an upstream that is leaving can serve the request.
+	LastResort bool
 }
 
 // Scheduler assigns requests to the upstreams of one region. Set the exported fields before
@@ -135,6 +137,9 @@
 	Incarnation   uint64
 	// Software is the version of the software that the process runs.
 	Software string
+	// SendUntil is the time on the clock of Timer after which nothing may be sent to the upstream, as it
+	// is leaving; 0 if it is not.
+	SendUntil time.Duration
 	// ExpectedDelay is the predicted delay from the reservation to the first token.
 	ExpectedDelay time.Duration
 	// CachedTokens is the number of prompt tokens that the upstream is assumed to have cached.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -392,3 +392,46 @@
 		}
 	}
 }
+
+// TestLeavingUpstreamAsLastResort guards against sending a request to an upstream that is leaving while
+// another can serve it, or later than it may get any; and against refusing what only that can serve.
+func TestLeavingUpstreamAsLastResort(t *testing.T) {
+	version := "v1"
+	s := newScheduler(
+		&schema.Announcement{Name: "leaving", Pool: "desk", Slots: 8, Software: version, Incarnation: 1, Leaving: true},
+		&schema.Announcement{Name: "undated", Pool: "desk", Slots: 8, Software: version, Incarnation: 1, Leaving: true},
+		&schema.Announcement{Name: "removed", Pool: "desk", Slots: 8, Software: "v2", Incarnation: 1, Leaving: true, Left: 3},
+		&schema.Announcement{Name: "new", Pool: "desk", Slots: 8, Software: "v3", Incarnation: 1},
+	)
+	until := s.Timer.Now() + 3*time.Second
+	s.UpdateLeaving(map[string]time.Duration{"leaving": until, "removed": until})
+	check := func(when string, w Request, want string) {
+		t.Helper()
+		now := s.Timer.Now()
+		w.Pool, w.ObjectiveAt, w.Deadline = "desk", now+time.Second, now+time.Second
+		got, sendUntil := "", time.Duration(0)
+		if p := s.reserveNow(&w); p != nil {
+			got, sendUntil = p.Name, p.SendUntil
+			p.Release(Answered)
+		}
+		if got != want {
+			t.Errorf("%s: sent to %q, want %q", when, got, want)
+		}
+		if wantUntil := until; (got == "leaving" || got == "removed") && sendUntil != wantUntil || got == "new" && sendUntil != 0 {
+			t.Errorf("%s: may be sent until %s", when, sendUntil)
+		}
+	}
+	v2 := "v2"
+	check("another upstream serves it", Request{LastResort: true}, "new")
+	check("not a last resort", Request{Software: &version}, "")
+	check("nothing else serves the version", Request{Software: &version, LastResort: true}, "leaving")
+	check("it failed there", Request{Software: &version, LastResort: true, Excluded: map[string]bool{"leaving": true}}, "")
+	check("it is to be taken away, and the request may be repeated", Request{Software: &v2, LastResort: true}, "removed")
+	check("it is to be taken away, and the request may not be repeated", Request{Software: &v2, LastResort: true, Unrepeatable: true}, "")
+	s.Timer.Advance(3*time.Second - time.Millisecond)
+	check("just before the end", Request{Software: &version, LastResort: true}, "leaving")
+	s.Timer.Advance(time.Millisecond)
+	check("at the end", Request{Software: &version, LastResort: true}, "")
+	s.UpdateLeaving(map[string]time.Duration{})
+	check("the time is not known any more", Request{Software: &version, LastResort: true}, "")
+}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -140,6 +140,9 @@
 	ownedSince    time.Duration // time since which this host owns it, while it is cold; 0 if it does not
 	nextAllowedAt time.Duration
 	limit         limitState
+	// leavingUntil is the time until which it may be sent requests of last resort, if it is leaving; 0:
+	// none.
+	leavingUntil time.Duration
 }
 
 // UpdateUpstreams replaces the list of the region's upstreams and dispatches waiting requests.
@@ -189,6 +192,23 @@
 	}
 }
 
+// UpdateLeaving replaces the times, on the clock of Timer, until which upstreams that are leaving may be
+// sent requests of last resort, by name. Call it after UpdateUpstreams.
+func (s *Scheduler) UpdateLeaving(until map[string]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, u := range s.upstreams {
+		u.leavingUntil = until[name]
+	}
+}
+
+// usableAsLastResort reports whether an upstream that is leaving may be sent w. One that is to be taken
+// away whatever it runs gets nothing that cannot be repeated.
+func (u *upstream) usableAsLastResort(w *Request, now time.Duration) bool {
+	a := u.announcement
+	return w.LastResort && now < u.leavingUntil && now >= u.bannedUntil && !a.Silent && !(w.Unrepeatable && a.Left > 0)
+}
+
 // MarkDomainCold treats the upstreams of a failure domain as cold for the warm-up time of their
 // pools, since they may have become cold while this host could not observe them.
 func (s *Scheduler) MarkDomainCold(domain string) {
@@ -291,9 +311,13 @@
 		return nil
 	}
 	u := o.upstream
+	sendUntil := time.Duration(0)
+	if u.announcement.Leaving {
+		sendUntil = u.leavingUntil
+	}
 	p := &Reservation{
 		Name: u.announcement.Name, Address: u.announcement.Address, Incarnation: u.announcement.Incarnation, Software: u.announcement.Software,
-		ExpectedDelay: o.expectedDelay, CachedTokens: o.cachedTokens,
+		SendUntil: sendUntil, ExpectedDelay: o.expectedDelay, CachedTokens: o.cachedTokens,
 		Running:   u.running + u.otherRunning,
 		Preferred: o.preferred, PreferredSkipped: o.skipReason,
 		scheduler: s, upstream: u, request: w, reservedAt: now, uncachedTokens: o.uncachedTokens,
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -66,7 +66,7 @@
 // newCluster returns the host's Cluster. first means that nothing of the system ran before this process
 // and those that start with it.
 func (c *Control) newCluster(clock *timer.Service, first bool) *controller.Cluster {
-	table := &cataloger.Table{Timer: clock, AnnounceInterval: c.AnnounceInterval, IsFirst: first}
+	table := &cataloger.Table{Timer: clock, AnnounceInterval: c.AnnounceInterval, DrainTime: c.DrainTime, IsFirst: first}
 	table.Start()
 	s := c.Settings
 	limits := func(customer string) (allocator.Limits, bool) {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -88,7 +88,7 @@
 	e.Timer = &timer.Service{}
 	e.incarnation = uint64(time.Now().UnixNano())
 	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer}
-	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, IsMirror: true}
+	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
@@ -261,6 +261,7 @@
 func (e *Entry) applyLoads(loads []*schema.PoolLoad, digests []*schema.RegionDigest) {
 	e.scheduler.UpdateOtherLoads(loads)
 	e.scheduler.UpdateUpstreams(e.Table.Upstreams())
+	e.scheduler.UpdateLeaving(e.Table.LeavingUntil())
 	e.scheduler.UpdateLimits(e.Table.Limits())
 	e.Forwarder.SetRegionDigests(digests)
 }
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -48,6 +48,9 @@
 	Seeds func() []string
 	// AnnounceInterval is the time between two announcements of an upstream.
 	AnnounceInterval time.Duration
+	// DrainTime is the time, from the first acknowledgement that an upstream is leaving, after which
+	// nothing may reach it. 0: it gets nothing once that is known.
+	DrainTime time.Duration
 	// GracePeriod is the time after the signal to stop within which the process must end.
 	GracePeriod time.Duration
 	// MaxMemoryBytes is the memory limit of the process; 0: unlimited.
