Control hosts infer a stream's version only in contact with their group

Cause: a control host that has not joined a group has no members to ask; at the first start of the system it counts as having observed every version, and takes the only one that reports to it for the only one. Evidence: TestVersionNotInferredOutsideGroup fails before ('attributes the stream to v1'). Change: a version is inferred only by a host that leads, or has had the leader's reply within 2 s and is a member. Ruled out: the entry host's own view (it infers nothing), a member that does not reply (forbids it before).

--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -14,6 +14,8 @@
 	searchTimeout = 450 * time.Millisecond
 	// Most questions to all control hosts at once. One beyond them is answered as if nobody replied.
 	maxSearches = 64
+	// Age of the last contact with the leader above which a host is out of step.
+	maxStepAge = 2 * time.Second
 )
 
 // RecordStreams stores which software versions began streams at an entry host.
@@ -41,15 +43,29 @@
 		// The record may have come meanwhile.
 		reply = resumer.Combine(r, append(replies, resumer.Find(r, k.Streams, k.Table)))
 	}
+	inStep := k.inStep()
+	reply.Inferred = reply.Inferred && inStep
 	if reply.Found || reply.Inferred {
 		reply.Regions, reply.Leaving = k.Table.RegionsWith(reply.Pool, reply.Software)
 	}
 	k.c.Log.Info().Uint64("stream", r.Stream).Str("pool", reply.Pool).Str("software", reply.Software).Bool("found", reply.Found).
-		Bool("inferred", reply.Inferred).Bool("conflict", reply.Conflict).Strs("versions", reply.Versions).Strs("regions", reply.Regions).
+		Bool("inferred", reply.Inferred).Bool("conflict", reply.Conflict).Bool("step", inStep).Strs("versions", reply.Versions).Strs("regions", reply.Regions).
 		Bool("usable", reply.Leaving).Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("asked", asked).Msg("version of a stream looked up")
 	return reply, nil
 }
 
+// inStep reports whether this host has lately been in contact with the leader of a group that it belongs
+// to. One that is not may ask too few hosts, and can infer no version.
+func (k *Cluster) inStep() bool {
+	now, v := k.c.Timer.Now(), k.c.view.Load()
+	if v.holdsLease(now) {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lastReply != nil && now-k.lastReplyRequestedAt <= maxStepAge && v.member(k.Self.Id) != nil
+}
+
 // searchStream asks all other control hosts for a stream. A reply is nil if none came. It returns early
 // once one has a record.
 func (k *Cluster) searchStream(ctx context.Context, r *schema.FindStreamRequest) []*schema.FindStreamReply {
