Bound the memory for what all others send together

What callers saw (reported by other operators, reproduced): a faulty upstream that sends bytes which are no answer, over many connections at once, exhausts the memory of an entry host, and with it end the requests of all other callers there. Cause: each reader is bounded, but not their sum: 1 MiB of a body, 256 KiB of an event or 64 KiB of a head for each connection, and a head of short fields takes far more than its bytes. Change: readers take what they keep beyond 16 KiB from a budget of an eighth of the process's memory limit, one for responses and one for requests. Heads may have 1,000 lines.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
@@ -68,6 +69,7 @@
 // finishAttempts returns the result of a request after its last attempt. If an upstream
 // responded with an error and nothing better came, it forwards that response.
 func (f *Forwarder) finishAttempts(s *responseState, sink Sink, err error) error {
+	defer s.keepFallback(nil)
 	switch {
 	case err == nil:
 		return nil
@@ -223,17 +225,20 @@
 }
 
 // forwardWhole reads a response completely before the caller gets any of it, unless its body
-// has maxBufferedBytes or more.
+// has maxBufferedBytes or more, or there is no memory to keep it.
 func (f *Forwarder) forwardWhole(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
-	b, err := io.ReadAll(io.LimitReader(call, maxBufferedBytes))
-	if err != nil {
+	hold := bufferer.Hold{Budget: f.Buffers}
+	defer func() { hold.Release() }()
+	b, err := hold.ReadAll(call, maxBufferedBytes)
+	large := errors.Is(err, bufferer.ErrTooLong) || errors.Is(err, bufferer.ErrExhausted)
+	if err != nil && !large {
 		return errors.Join(errUpstreamFailed, err)
 	}
 	reservation.RecordFirstToken()
-	large := len(b) == maxBufferedBytes
 	if verdict == UpstreamError {
 		if s.headSent || (r.repeatable() && r.attempts < int(r.route.Attempts) && !large) {
-			s.fallback = &failedResponse{status: call.Response.StatusCode, header: f.Protocol.ResponseHeader(call.Response.Header), body: b}
+			s.keepFallback(&failedResponse{status: call.Response.StatusCode, header: f.Protocol.ResponseHeader(call.Response.Header), body: b, hold: hold})
+			hold = bufferer.Hold{}
 			return errUpstreamFailed
 		}
 	}
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -38,12 +39,17 @@
 	complete int
 	// searched is the length of the beginning of b that holds no end of an event.
 	searched int
+	hold     bufferer.Hold // for b
 }
 
 // add appends received bytes and returns the complete events, valid until the next call. It
-// returns errEventTooLong if the incomplete event that remains is longer than maxEventBytes.
+// returns errEventTooLong if the incomplete event that remains is longer than maxEventBytes, or
+// bufferer.ErrExhausted if there is no memory for it.
 func (e *eventBuffer) add(received []byte) ([]byte, error) {
 	e.b = append(e.b[:0], e.b[e.complete:]...)
+	if err := e.hold.Grow(int64(len(e.b) + len(received))); err != nil {
+		return nil, err
+	}
 	e.b = append(e.b, received...)
 	e.complete = 0
 	from := max(0, e.searched-len("\r\n\r"))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
@@ -47,6 +48,8 @@
 	FindStream func(ctx context.Context, r *schema.FindStreamRequest) (*schema.FindStreamReply, error)
 	Protocol   Protocol
 	Metrics    *Metrics
+	// Buffers bounds the memory for responses that are not forwarded as they arrive. Nil: unlimited.
+	Buffers *bufferer.Budget
 	// OnLimit is called after the limit that an upstream names has changed. Nil: not called.
 	OnLimit func()
 	// ConfirmationAge returns the time since the configuration was last confirmed as the
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
@@ -43,6 +44,15 @@
 	status int
 	header http.Header
 	body   []byte
+	hold   bufferer.Hold // for body
+}
+
+// keepFallback replaces the fallback by x, which may be nil.
+func (s *responseState) keepFallback(x *failedResponse) {
+	if s.fallback != nil {
+		s.fallback.hold.Release()
+	}
+	s.fallback = x
 }
 
 // forwardStream forwards events as they arrive, only complete ones. The caller never gets
@@ -51,7 +61,8 @@
 func (f *Forwarder) forwardStream(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call) error {
 	watch := newStallWatch(f.Timer, stallTimeout(r.route), call.Abort)
 	defer watch.end()
-	var buffer eventBuffer
+	buffer := eventBuffer{hold: bufferer.Hold{Budget: f.Buffers}}
+	defer buffer.hold.Release()
 	begun := false
 	b := make([]byte, streamBufferBytes)
 	for {
--- a/internal/pooler/endless_test.go
+++ b/internal/pooler/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 )
 
 // endlessUpstream answers each request with prefix and then with unit again and again, until the
@@ -132,3 +135,51 @@
 		}
 	}
 }
+
+// TestHeadsOnManyConnections guards against heads that together, or as many short fields, take more memory
+// than their bytes suggest.
+func TestHeadsOnManyConnections(t *testing.T) {
+	fields := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "F%d:\r\n", i)
+		}
+		return b.String()
+	}
+	send := func(p *Pool, head string) (*Call, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		t.Cleanup(cancel)
+		u := &endlessUpstream{prefix: "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 1000000\r\n\r\n", unit: "x"}
+		return p.Send(ctx, u.listen(t), newRequest(""), SendOptions{})
+	}
+	if _, err := send(newPool(t), fields(maxHeadLines+1000)); !errors.Is(err, ErrMalformedResponse) {
+		t.Errorf("more than %d lines: error %v, want ErrMalformedResponse", maxHeadLines, err)
+	}
+	if _, err := send(newPool(t), fields(maxHeadLines-100)); err != nil {
+		t.Errorf("fewer than %d lines: %v", maxHeadLines, err)
+	}
+	p := newPool(t)
+	p.Buffers = &bufferer.Budget{Max: 200 << 10}
+	long := "X-Filler: " + strings.Repeat("x", 40<<10) + "\r\n" // takes some 160 KiB
+	first, err := send(p, long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := send(p, long); !errors.Is(err, ErrMalformedResponse) {
+		t.Errorf("a second long head: error %v, want ErrMalformedResponse", err)
+	}
+	if call, err := send(p, "X-Short: x\r\n"); err != nil {
+		t.Errorf("a short head while the budget is exhausted: %v", err)
+	} else {
+		call.Close()
+	}
+	first.Close()
+	if used := p.Buffers.Used(); used != 0 {
+		t.Errorf("%d bytes are still taken", used)
+	}
+	if call, err := send(p, long); err != nil {
+		t.Errorf("a long head once there is room: %v", err)
+	} else {
+		call.Close()
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -42,6 +44,11 @@
 	maxHeadBytes = 64 << 10
 	// Maximum number of informational responses before the response itself.
 	maxInformational = 8
+	// Maximum number of lines of a head. Fields of different names take much more memory than bytes on
+	// the wire.
+	maxHeadLines = 1000
+	// Memory that a head takes, as a multiple of its bytes.
+	headMemoryFactor = 4
 )
 
 // Errors of calls.
@@ -59,6 +66,7 @@
 // Causes of ErrMalformedResponse for heads that do not end.
 var (
 	errHeadTooLong          = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
+	errTooManyLines         = fmt.Errorf("response head has more than %d lines", maxHeadLines)
 	errTooManyInformational = fmt.Errorf("more than %d informational responses", maxInformational)
 )
 
@@ -67,6 +75,8 @@
 	Timer *timer.Service
 	// OnDial is called after each new connection is established. Nil: not called.
 	OnDial func(address string)
+	// Buffers bounds the memory for the heads of responses. Nil: unlimited.
+	Buffers *bufferer.Budget
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last; guarded by mu
@@ -82,24 +92,32 @@
 	idleTimeout time.Duration // idle time after which it is closed
 }
 
-// boundedReader reads from r. While bounded is set, it returns errHeadTooLong once remaining bytes
-// are read.
+// boundedReader reads from r. While hold is set, it reads a head: it returns an error once remaining bytes or
+// maxHeadLines lines are read, or if the Budget of hold is exhausted.
 type boundedReader struct {
 	r         io.Reader
-	bounded   bool
+	hold      *bufferer.Hold
 	remaining int
+	lines     int
 }
 
 // Read reads from the underlying reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
+	if b.hold == nil {
 		return b.r.Read(p)
 	}
 	if b.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
+	if b.lines > maxHeadLines {
+		return 0, errTooManyLines
+	}
+	if err := b.hold.Grow(headMemoryFactor * int64(maxHeadBytes-b.remaining)); err != nil {
+		return 0, err
+	}
 	n, err := b.r.Read(p[:min(len(p), b.remaining)])
 	b.remaining -= n
+	b.lines += bytes.Count(p[:n], []byte("\n"))
 	return n, err
 }
 
@@ -114,6 +132,7 @@
 	conn             *conn
 	writeDone        chan error
 	stopContextWatch func() bool
+	head             bufferer.Hold // for the head of the response
 	bodyComplete     bool
 	closed           bool
 }
@@ -194,13 +213,15 @@
 // readHeader reads response headers up to the first that is not informational (1xx). All of them
 // together may have maxHeadBytes.
 func (c *Call) readHeader(r *http.Request) error {
-	c.conn.source.bounded, c.conn.source.remaining = true, maxHeadBytes
-	defer func() { c.conn.source.bounded = false }()
+	c.head.Budget = c.pool.Buffers
+	source := c.conn.source
+	source.hold, source.remaining, source.lines = &c.head, maxHeadBytes, 0
+	defer func() { source.hold = nil }()
 	for n := 0; ; n++ {
 		if n > maxInformational {
 			return fmt.Errorf("%w: %w", ErrMalformedResponse, errTooManyInformational)
 		}
-		if _, err := c.conn.reader.Peek(1); errors.Is(err, errHeadTooLong) {
+		if _, err := c.conn.reader.Peek(1); errors.Is(err, errHeadTooLong) || errors.Is(err, errTooManyLines) || errors.Is(err, bufferer.ErrExhausted) {
 			return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
 		} else if err != nil {
 			return fmt.Errorf("%w: %w", ErrConnectionLost, err)
@@ -246,6 +267,7 @@
 		return
 	}
 	c.closed = true
+	c.head.Release()
 	contextActive := c.stopContextWatch()
 	if contextActive && c.bodyComplete && c.reusable() {
 		c.pool.pushIdle(c.conn)
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
@@ -37,12 +38,16 @@
 	// Listeners returns the HTTP listeners for operators and upstreams.
 	Listeners func(*controller.Cluster, *Control) []Listener
 
+	// Requests bounds the memory for the bodies of requests. Run sets it.
+	Requests *bufferer.Budget
+
 	controller *controller.Controller
 }
 
 // Run serves until ctx ends or a component fails.
 func (c *Control) Run(ctx context.Context) error {
 	c.applyRuntimeLimits()
+	c.Requests = c.newBudget()
 	folder := filepath.Join(c.Settings.Data, "control")
 	created, err := c.initIdentity(folder)
 	if err != nil {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -12,8 +12,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
@@ -64,9 +66,11 @@
 	// Listeners returns the HTTP listeners for callers.
 	Listeners func(*Entry) []Listener
 
-	Timer       *timer.Service
-	Forwarder   *forwarder.Forwarder
-	Table       *cataloger.Table
+	Timer     *timer.Service
+	Forwarder *forwarder.Forwarder
+	Table     *cataloger.Table
+	// Requests bounds the memory for the bodies of callers' requests.
+	Requests    *bufferer.Budget
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
@@ -95,7 +99,9 @@
 		return LimitsOf(e.distributor.Current(), customer)
 	}}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
-	e.pool = &pooler.Pool{Timer: e.Timer}
+	e.Requests = e.newBudget()
+	responses := e.newBudget()
+	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses}
 	quarantine := &quarantiner.Register{Now: e.Timer.Now}
 	observer := &quarantiner.Observer{
 		Timer: e.Timer, Log: e.Log, Refused: e.pool.Refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
@@ -113,7 +119,7 @@
 	e.RetryBudget.Hosts = func() int { return len(e.Table.ReadyHosts("")) }
 	e.Forwarder = &forwarder.Forwarder{
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
-		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(),
+		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses,
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow,
 		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
@@ -196,6 +202,11 @@
 	return stopUntil
 }
 
+// Collectors returns the process's metrics, to be added to a registry.
+func (e *Entry) Collectors() []prometheus.Collector {
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests))
+}
+
 // Stopping reports whether the process is shutting down.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog/diode"
 	"google.golang.org/grpc"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -32,6 +33,10 @@
 	// Fraction of the process's memory limit that is set as the soft memory limit of the Go
 	// runtime.
 	memoryLimitFraction = 0.7
+	// Parts of the process's memory limit that may hold requests, and responses, that are not read to
+	// their end yet; and the same where there is no limit.
+	bufferParts        = 8
+	defaultBufferBytes = 64 << 20
 	// Heap growth in percent after which the garbage collector runs.
 	gcGrowthPercent = 60
 
@@ -71,6 +76,27 @@
 	debug.SetGCPercent(gcGrowthPercent)
 }
 
+// newBudget returns the budget of one kind of buffers.
+func (o *Options) newBudget() *bufferer.Budget {
+	if o.MaxMemoryBytes <= 0 {
+		return &bufferer.Budget{Max: defaultBufferBytes}
+	}
+	return &bufferer.Budget{Max: o.MaxMemoryBytes / bufferParts}
+}
+
+// BufferCollectors returns the metrics of a budget that bounds the named kind of buffers.
+func BufferCollectors(kind string, b *bufferer.Budget) []prometheus.Collector {
+	labels := prometheus.Labels{"kind": kind}
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "trefoil_buffered_bytes", Help: "Memory that buffers of a kind have taken from their budget.", ConstLabels: labels,
+		}, func() float64 { return float64(b.Used()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "trefoil_buffers_exhausted_total", Help: "Times that the budget of a kind of buffers was exhausted.", ConstLabels: labels,
+		}, func() float64 { return float64(b.Exhausted()) }),
+	}
+}
+
 // NewLog returns a logger that never blocks: lines that cannot be written in time are dropped,
 // and their number is logged.
 func NewLog(w io.Writer, name string) zerolog.Logger {
