Send the request target byte for byte as it was routed

Cause: net/http writes the scheme before an opaque path that begins with two slashes. Change: the pool writes the request line itself. Why it works: one string selects the route, keys the quarantine and is sent. Dot segments and percent-encoding stay unchanged, as the platform asks. Ruled out: the decoding of the caller's request (the raw target is used throughout).

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -149,6 +150,9 @@
 // connection is closed, even while the body is read. The error wraps ErrNotSent,
 // ErrConnectionLost or ErrMalformedResponse.
 func (p *Pool) Send(ctx context.Context, address string, r *http.Request, o SendOptions) (*Call, error) {
+	if err := checkWritable(r); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	c, reused, err := p.connect(ctx, address, o.RecentOnly)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -191,14 +195,53 @@
 
 var errTooLate = errors.New("pooler: the connection was established too late")
 
+// writeRequest writes a request whose body, if it has one, has a known length. An opaque URL is the request
+// target and is written byte for byte, which Request.Write does not do.
 func writeRequest(w io.Writer, r *http.Request) error {
 	b := bufio.NewWriterSize(w, bufferBytes)
-	if err := r.Write(b); err != nil {
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, targetOf(r), cmp.Or(r.Host, r.URL.Host))
+	if r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		fmt.Fprintf(b, "Content-Length: %d\r\n", r.ContentLength)
+	}
+	if err := r.Header.WriteSubset(b, framingFields); err != nil {
 		return err
 	}
+	_, _ = b.WriteString("\r\n") // Flush returns the first error
+	if r.ContentLength > 0 {
+		if _, err := io.CopyN(b, r.Body, r.ContentLength); err != nil {
+			return err
+		}
+	}
 	return b.Flush()
 }
 
+// targetOf returns the request target of r.
+func targetOf(r *http.Request) string {
+	if r.URL.Opaque != "" {
+		return r.URL.Opaque
+	}
+	return r.URL.RequestURI()
+}
+
+// checkWritable checks what the request line and the Host field of r would hold.
+func checkWritable(r *http.Request) error {
+	target, host := targetOf(r), cmp.Or(r.Host, r.URL.Host)
+	if !isOneWord(target) || !isOneWord(r.Method) || !isOneWord(host) {
+		return fmt.Errorf("%w: method %q, target %q, host %q", errInvalidRequest, r.Method, target, host)
+	}
+	return nil
+}
+
+var errInvalidRequest = errors.New("pooler: the request cannot be written")
+
+// framingFields are the header fields that writeRequest itself writes, or none may.
+var framingFields = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// isOneWord reports whether s may stand in a request line: printable ASCII without spaces.
+func isOneWord(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c >= 0x7f })
+}
+
 type countingWriter struct {
 	w io.Writer
 	n int
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -211,8 +210,7 @@
 // keeps the call's idempotency records.
 func (s *Server) serveForwardedServiceCall(ctx context.Context, r *schema.ForwardRequest, customer *schema.Customer, stream grpc.ServerStreamingServer[schema.ForwardReply]) error {
 	out := &forwardAnswerWriter{stream: stream, c: &completion{}}
-	path, _, _ := strings.Cut(r.Path, "?")
-	route := findRoute(s.snapshot(), r.Method, path)
+	route := findRoute(s.snapshot(), r.Method, r.Path)
 	if route == nil {
 		return out.writeError(newRefusal(http.StatusNotFound, "not_found", "there is no such route here"))
 	}
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -96,11 +97,12 @@
 // route that is open to all. It refuses calls without a route or a valid API key, calls bound to
 // another region, and those that may not be repeated but have no valid idempotency key.
 func (s *Server) newServiceCall(r *http.Request) (*serviceCall, string, error) {
-	route := findRoute(s.snapshot(), r.Method, r.URL.Path)
+	target := r.URL.RequestURI()
+	route := findRoute(s.snapshot(), r.Method, target)
 	if route == nil {
 		return nil, "", newRefusal(http.StatusNotFound, "not_found", "there is no such route")
 	}
-	call := &serviceCall{route: route, method: r.Method, path: r.URL.RequestURI(), header: serviceHeader(r.Header)}
+	call := &serviceCall{route: route, method: r.Method, path: target, header: serviceHeader(r.Header)}
 	home := route.Home
 	keyHash := ""
 	if !route.Open {
@@ -126,8 +128,14 @@
 	return call, keyHash, nil
 }
 
-// findRoute returns the route of a method with the longest prefix that matches a path, or nil.
-func findRoute(c *configurer.Snapshot, method, path string) *schema.Route {
+// findRoute returns the route of a method with the longest prefix that matches the path of a request target,
+// decoded as the upstream that gets the target will decode it; nil if there is none.
+func findRoute(c *configurer.Snapshot, method, target string) *schema.Route {
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return nil
+	}
+	path := u.Path
 	var best *schema.Route
 	for _, p := range c.Paths("route") {
 		r := c.Item(p).GetRoute()
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -158,7 +158,7 @@
 		log := log.With().Str("listener", l.Name).Logger()
 		all = append(all, newHTTPServer(l.Name, ln, &http.Server{
 			Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: stdlog.New(log, "", 0),
+			ErrorLog: stdlog.New(log, "", 0), DisableGeneralOptionsHandler: true,
 		}))
 	}
 	return all, nil
