Keep to what upstreams ask for in their answers: leaving, and pauses

Cause of the need: nothing read 'Server-Leaving' in an answer, nor 'Retry-After' in an upstream's own 503; the upstream was avoided for 0.15 s whatever it said. Change, leaving: from the first answer that says so an upstream is leaving for this host, whatever it announces, until another process of it is known; nothing reaches it later than drainMs after that, and before only what nothing else serves. The host tells its control host, and from there it counts as announced. A host that had such an answer relayed names the upstream to the hosts that it relays to. Change, pauses: the upstream gets nothing from this host until the end of the pause, then one request until an answer comes. If all that could serve are paused, callers are refused at once with the earliest end. A value that is not a number of seconds is ignored with a line. Both are kept while the upstream is not announced, in bounded memory. The older interface speaks another protocol, which has neither.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -74,6 +74,7 @@
 	forwardedAt time.Duration
 	limit       *namedLimit // nil if it named none
 	leaving     leavingTime
+	saidAt      time.Duration // when an entry host last reported an answer that says that it is leaving; 0: never
 }
 
 // entryHost is the newest report of an entry host.
@@ -123,7 +124,7 @@
 		}
 		// Neither the limit, which comes from answers, nor the time at which the upstream began to leave
 		// is part of its report: they may change while that does not.
-		changed := t.storeLeaving(old, reported)
+		changed := t.storeLeaving(old, a.Leaving, reported)
 		return limit != nil && t.storeLimit(old, limit, false) || changed
 	}
 	if !t.claimAddress(a) {
@@ -142,6 +143,7 @@
 		updated.revision = old.revision
 		updated.direct = direct || old.direct
 		updated.limit = old.limit
+		updated.saidAt = old.saidAt
 	}
 	a.Silent = t.unresponsive(updated, now)
 	changed := old == nil || differs(a, old.report)
--- a/internal/cataloger/leaving.go
+++ b/internal/cataloger/leaving.go
@@ -1,10 +1,13 @@
 package cataloger
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -64,12 +67,16 @@
 	return leavingTime{old.reportedAt, rand.Uint64() | 1}
 }
 
-// storeLeaving stores the time that another host names for a process that is leaving. It reports whether
-// hosts need to know. The caller holds mu.
-func (t *Table) storeLeaving(u *upstream, l leavingTime) bool {
-	if !u.report.Leaving {
+// storeLeaving stores what another host says of a process in a report that is not newer: that it is leaving,
+// which an answer may have told, and since when. It reports whether hosts need to know. The caller holds mu.
+func (t *Table) storeLeaving(u *upstream, leaving bool, l leavingTime) bool {
+	if !u.report.Leaving && (!leaving || u.report.Gone) {
 		return false
 	}
+	if !u.report.Leaving {
+		t.markLeaving(u, l)
+		return true
+	}
 	var changed bool
 	if u.leaving, changed = u.leaving.merge(l); !changed {
 		return false
@@ -135,3 +142,50 @@
 	slices.Sort(usable)
 	return slices.Compact(usable), len(usable) > 0
 }
+
+// leaverForwardTime is the time for which an answer that an entry host reported is forwarded to the leader.
+const leaverForwardTime = 2 * time.Second
+
+// StoreLeaver stores that an upstream said in an answer that it is leaving, unless the report is of another
+// process. It then counts as if it had announced that. It reports whether anything changed that other hosts
+// need to know.
+func (t *Table) StoreLeaver(l *schema.Leaver) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[l.Upstream]
+	if u == nil || u.report.Incarnation != l.Incarnation || !(l.Age >= 0) {
+		return false
+	}
+	now := t.Timer.Now()
+	u.saidAt = now
+	said := leavingTime{now - time.Duration(l.Age*float64(time.Second)), rand.Uint64() | 1}
+	if u.report.Leaving {
+		return false // the first acknowledgement or answer counts, and is known
+	}
+	t.markLeaving(u, said)
+	return true
+}
+
+// markLeaving marks an upstream as leaving since l. The caller holds mu.
+func (t *Table) markLeaving(u *upstream, l leavingTime) {
+	report := proto.Clone(u.report).(*schema.Announcement)
+	report.Leaving = true
+	t.revision++
+	u.report, u.revision, u.leaving, u.forwardedAt = report, t.revision, l, 0
+}
+
+// LeaversToForward returns the upstreams of which entry hosts lately reported to this host that they said
+// in answers that they are leaving, sorted by name.
+func (t *Table) LeaversToForward() []*schema.Leaver {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var all []*schema.Leaver
+	for name, u := range t.upstreams {
+		if u.saidAt > 0 && now-u.saidAt < leaverForwardTime && u.leaving.known() {
+			all = append(all, &schema.Leaver{Upstream: name, Incarnation: u.report.Incarnation, Age: (now - u.leaving.at).Seconds()})
+		}
+	}
+	slices.SortFunc(all, func(a, b *schema.Leaver) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return all
+}
--- a/internal/cataloger/leaving_test.go
+++ b/internal/cataloger/leaving_test.go
@@ -246,3 +246,44 @@
 	clock.Advance(time.Second)
 	check("the time of both is over", false)
 }
+
+// TestLeaversSpread guards against hosts that go on using an upstream which said in an answer to another host
+// that it is leaving, and against forgetting that at its next announcement.
+func TestLeaversSpread(t *testing.T) {
+	clock, tables := leavingTables(3)
+	control, leader, other := tables[0], tables[1], tables[2]
+	for _, x := range tables {
+		x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+	}
+	saidAt := clock.Now()
+	clock.Advance(200 * time.Millisecond)
+	if control.StoreLeaver(&schema.Leaver{Upstream: "u", Incarnation: 2, Age: 0.2}) || control.StoreLeaver(&schema.Leaver{Upstream: "v", Incarnation: 1}) {
+		t.Error("a report of another process was stored")
+	}
+	if !control.StoreLeaver(&schema.Leaver{Upstream: "u", Incarnation: 1, Age: 0.2}) || control.StoreLeaver(&schema.Leaver{Upstream: "u", Incarnation: 1, Age: 0.2}) {
+		t.Error("the first report, and only that, changes the table")
+	}
+	for _, l := range control.LeaversToForward() {
+		leader.StoreLeaver(l)
+	}
+	for _, a := range leader.ChangesSince(0, 0, "").Upstreams {
+		other.StoreUpstream(a, false)
+	}
+	other.StoreUpstream(newReport("u", 1, 2, "a:1"), true)
+	for i, x := range tables {
+		if a := x.Upstream("u"); !a.Leaving {
+			t.Errorf("table %d: u is not leaving", i)
+		}
+		if until := x.LeavingUntil()["u"]; until <= clock.Now() || until > saidAt+testDrainTime-LeavingMargin {
+			t.Errorf("table %d: until %s after the answer", i, until-saidAt)
+		}
+	}
+	clock.Advance(leaverForwardTime)
+	if got := control.LeaversToForward(); len(got) > 0 {
+		t.Errorf("still forwarded: %v", got)
+	}
+	control.StoreUpstream(newReport("u", 2, 1, "a:1"), true)
+	if control.Upstream("u").Leaving {
+		t.Error("the next process is leaving")
+	}
+}
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -67,6 +67,7 @@
 	for _, l := range r.Limits {
 		k.Table.StoreLimit(l, false)
 	}
+	k.storeLeavers(r.Leavers, r.Address)
 	k.Table.StoreLoads(r.Address, r.Loads)
 	if r.Lender != nil {
 		reply.Allotment = k.Allocator.Allot(r.Lender)
@@ -122,6 +123,7 @@
 		k.requestConsult()
 	}
 	k.storeLimits(r)
+	k.storeLeavers(r.Leavers, r.Self.Name)
 	reply := &schema.RefreshReply{Age: -1}
 	if confirmedAt := k.lastConfirmedAt(); confirmedAt > 0 {
 		reply.Age = int64(k.c.Timer.Now() - confirmedAt)
@@ -140,6 +142,17 @@
 	return reply, nil
 }
 
+// storeLeavers stores that upstreams said in answers to entry hosts that they are leaving.
+func (k *Cluster) storeLeavers(all []*schema.Leaver, from string) {
+	for _, l := range all {
+		if k.Table.StoreLeaver(l) {
+			k.c.Log.Info().Str("upstream", l.Upstream).Uint64("incarnation", l.Incarnation).Float64("age", l.Age).Str("from", from).
+				Msg("upstream said that it is leaving")
+			k.requestConsult()
+		}
+	}
+}
+
 // storeLimits stores the limits that upstreams named to an entry host.
 func (k *Cluster) storeLimits(r *schema.RefreshRequest) {
 	for _, l := range r.Limits {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -203,6 +203,8 @@
 func (f *Forwarder) receive(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
 	verdict := f.Protocol.Classify(a, call.Response)
 	f.recordLimit(r, reservation, verdict, call.Response.Header)
+	f.recordPause(r, reservation, verdict, call.Response)
+	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
 	switch verdict {
 	case NotRun:
 		f.drain(call)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	// Borrow asks a control host for a loan of a customer's tokens: at least minTokens, maxTokens if it
 	// can. If none are lent, Borrow returns the time until the tokens would be available.
 	Borrow func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
+	// OnLeaver is called after an upstream first said in an answer that it is leaving. Nil: not called.
+	OnLeaver func()
 	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
 
@@ -71,6 +73,7 @@
 	monitor       regionMonitor
 	stop          stopState
 	durations     durationHistory
+	leavers       leaverSet
 	inflight      atomic.Int64
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -59,6 +59,15 @@
 	return strconv.ParseFloat(h.Get("Limit"), 64)
 }
 
+func (testProtocol) Leaving(h http.Header) bool { return h.Get("Leaving") != "" }
+
+func (testProtocol) Pause(response *http.Response) (time.Duration, error) {
+	if response.Header.Get("Pause") == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(response.Header.Get("Pause"))
+}
+
 func (testProtocol) ResponseHeader(h http.Header) http.Header {
 	return http.Header{"Mark": h.Values("Mark")}
 }
--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -79,3 +80,73 @@
 	}
 	return got
 }
+
+// TestRelayedAnswerSaysItLeaves guards against a request that reaches an upstream of another region which said
+// in an earlier answer to this host that it is leaving, through another host of that region.
+func TestRelayedAnswerSaysItLeaves(t *testing.T) {
+	s := newSystem(t, []scriptStep{text(200, "whole", "Leaving", "1")}, []scriptStep{text(200, "whole")})
+	now := s.Timer.Now()
+	relay := func(excluded ...string) *relayedReplies {
+		m := s.newRelayRequest(&Request{ID: "1", Host: "h", Method: "POST", Path: "/unsafe/x", pool: "p", ArrivedAt: now, answerUntil: now + time.Second, objectiveAt: now + time.Second})
+		sent := &relayedReplies{}
+		if err := (&RelayService{Forwarder: s.Forwarder}).Relay(m, sent); err != nil {
+			t.Fatal(err)
+		}
+		return sent
+	}
+	var leaver *schema.Leaver
+	for range 100 {
+		for _, reply := range relay().replies {
+			if reply.Leaver != nil {
+				leaver = reply.Leaver
+			}
+		}
+		if leaver != nil {
+			break
+		}
+	}
+	if leaver.GetUpstream() != "u0" {
+		t.Fatalf("no reply names the upstream: %v", leaver)
+	}
+	other := newSystem(t, []scriptStep{text(200, "whole")}, []scriptStep{text(200, "whole")}) // of the same region
+	other.recordRelayedLeaver(&Request{}, leaver)
+	for range 50 {
+		m := other.newRelayRequest(&Request{ID: "1", Host: "h", Method: "POST", Path: "/unsafe/x", pool: "p", ArrivedAt: now, answerUntil: now + time.Second, objectiveAt: now + time.Second})
+		if err := (&RelayService{Forwarder: other.Forwarder}).Relay(m, &relayedReplies{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, at := range other.allArrivals() {
+		if at == "u0" {
+			t.Fatal("a request reached the upstream that is leaving")
+		}
+	}
+	for i := range 3 * maxLeavers {
+		other.leavers.add(&schema.Leaver{Upstream: "x", Incarnation: uint64(i)}, now)
+	}
+	if n := len(other.leavers.all); n > maxLeavers {
+		t.Errorf("%d upstreams are kept", n)
+	}
+}
+
+// TestAllPaused guards against keeping a request waiting while every upstream has asked for a pause, and
+// against a pause that a request which may not be repeated is sent into.
+func TestAllPaused(t *testing.T) {
+	reject := func(pause string) scriptStep {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.Header().Set("Pause", pause)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	s := newSystem(t, []scriptStep{reject("3s")}, []scriptStep{reject("5s")})
+	if got := s.call("/unsafe/x", ""); got.Status != 503 || len(s.allArrivals()) != 2 {
+		t.Errorf("status %d after %v, want 503 after both", got.Status, s.allArrivals())
+	}
+	now := s.Timer.Now()
+	sink := &retrySink{}
+	s.Serve(t.Context(), &Request{ID: "2", Host: "h", Method: "POST", Path: "/unsafe/x", ArrivedAt: now, DeadlineAt: now + 10*time.Second}, sink)
+	if took := s.Timer.Now() - now; took > time.Second || sink.retryAfter < 2*time.Second || sink.retryAfter > 3*time.Second || len(s.allArrivals()) != 2 {
+		t.Errorf("all are paused: refused after %s with a retry after %s, arrivals %v", took, sink.retryAfter, s.allArrivals())
+	}
+}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -7,7 +7,7 @@
 	answered, attemptsFailed, refused *prometheus.CounterVec
 	resumes                           *prometheus.CounterVec
 	callersLeft, truncated            prometheus.Counter
-	limitsInvalid                     prometheus.Counter
+	limitsInvalid, pauses, leavers    prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
 	slotWait                          prometheus.Histogram
 }
@@ -25,6 +25,8 @@
 		callersLeft:    prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_callers_left_total", Help: "Callers that went away."}),
 		truncated:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_answers_broken_total", Help: "Answers broken off."}),
 		limitsInvalid:  prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_limits_invalid_total", Help: "Limits of upstreams that could not be read."}),
+		pauses:         prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_pauses_total", Help: "Responses in which upstreams asked for a pause."}),
+		leavers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_leavers_total", Help: "Upstreams that said in an answer that they are leaving."}),
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "trefoil_request_seconds", Help: "Time from arrival to the end of the answer, by pool.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
@@ -38,5 +40,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.requestTime, m.slotWait}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.requestTime, m.slotWait}
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -82,6 +82,7 @@
 		Id: r.ID, Route: r.Host, Customer: r.Customer(), Method: r.Method, Path: r.Path, Body: r.Body,
 		Left: (r.answerUntil - now).Seconds(), Age: (now - r.ArrivedAt).Seconds(), Objective: (r.objectiveAt - now).Seconds(), Pool: r.pool,
 		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion, Leaving: r.lastResort,
+		Avoid: f.leavers.newest(now),
 	}
 	if r.software != nil {
 		m.Resume = &schema.Resume{After: r.LastEventID, Request: r.Resumes, Software: *r.software}
@@ -122,6 +123,7 @@
 			return errors.Join(errRelayFailed, err)
 		}
 		f.regionReplied(region)
+		f.recordRelayedLeaver(r, reply.Leaver)
 		if reply.Failure != nil {
 			return f.relayedFailure(r, reply.Failure, headSent)
 		}
@@ -231,6 +233,12 @@
 	if m.Resume != nil {
 		r.LastEventID, r.Resumes, r.software = m.Resume.After, m.Resume.Request, &m.Resume.Software
 	}
+	for _, l := range m.Avoid {
+		if r.avoid == nil {
+			r.avoid = map[string]uint64{}
+		}
+		r.avoid[l.Upstream] = l.Incarnation
+	}
 	for _, p := range m.Parts {
 		r.Parts = append(r.Parts, scheduler.PromptPart{ID: p.Id, Tokens: p.Tokens})
 	}
@@ -263,12 +271,14 @@
 	stream  grpc.ServerStreamingServer[schema.RelayReply]
 	request *Request
 	head    *schema.RelayReply
-	replies uint64 // number of the last reply
+	replies uint64         // number of the last reply
+	leaver  *schema.Leaver // to be sent with the next reply
 }
 
 func (s *relaySink) send(m *schema.RelayReply) error {
 	s.replies++
 	m.Number = s.replies
+	m.Leaver, s.leaver = s.leaver, nil
 	return s.stream.Send(m)
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,11 +52,12 @@
 	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
 	mayHaveRun    bool
-	software      *string  // version of the software that began the stream; nil before its first event
-	resumeRegions []string // that have upstreams of that version; nil: not known
-	counted       bool     // it is in the Forwarder's Budget
-	lastResort    bool     // only an upstream that is leaving can serve it
-	recorded      bool     // the stream that it began is in the Forwarder's Streams
+	software      *string           // version of the software that began the stream; nil before its first event
+	resumeRegions []string          // that have upstreams of that version; nil: not known
+	counted       bool              // it is in the Forwarder's Budget
+	avoid         map[string]uint64 // processes of upstreams that may not run it, by name
+	lastResort    bool              // only an upstream that is leaving can serve it
+	recorded      bool              // the stream that it began is in the Forwarder's Streams
 }
 
 // Customer returns the name of the customer that sent the request; empty on a route that
@@ -163,6 +164,11 @@
 	// together, as its response says; 0 if the response names no limit. An error says why the limit
 	// cannot be read.
 	NamedLimit(h http.Header) (float64, error)
+	// Leaving reports whether the upstream says in its response that it is leaving.
+	Leaving(h http.Header) bool
+	// Pause returns how long the upstream wants no request from this host, as its response says; 0 if it
+	// asks for no pause. An error says why the pause cannot be read.
+	Pause(response *http.Response) (time.Duration, error)
 	// ResponseHeader returns the header fields of a response that are forwarded to the caller.
 	ResponseHeader(h http.Header) http.Header
 }
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -87,6 +87,6 @@
 	return &scheduler.Request{
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
-		Software: r.software, LastResort: r.lastResort,
+		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
 	}
 }
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -55,6 +55,9 @@
 	Streams *resumer.Sender
 	// OwnLimits returns the limits that upstreams lately named in answers to this host. Nil: none.
 	OwnLimits func() []*schema.NamedLimit
+	// OwnLeavers returns the upstreams that lately said in answers to this host that they are leaving.
+	// Nil: none.
+	OwnLeavers func() []*schema.Leaver
 	// IsBusy reports whether this host handles so many requests that other hosts need its load
 	// more often. Nil: never.
 	IsBusy func() bool
@@ -183,6 +186,9 @@
 	if r.OwnLimits != nil {
 		request.Limits = r.OwnLimits()
 	}
+	if r.OwnLeavers != nil {
+		request.Leavers = r.OwnLeavers()
+	}
 	if r.Findings != nil {
 		request.Findings = r.Findings.Request(r.cursorProcess)
 	}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -20,12 +21,12 @@
 	var healthy, unreliable, leaving, unavailable []*upstream
 	for _, u := range s.sortedUpstreams {
 		a := u.announcement
-		if a.Pool != w.Pool || a.Gone || w.Excluded[a.Name] || w.Software != nil && a.Software != *w.Software || c.Evacuated(a.Domain) {
+		if !usable(c, u, w) || u.paused(now) {
 			continue
 		}
 		switch {
-		case a.Leaving:
-			if u.usableAsLastResort(w, now) {
+		case u.leaving():
+			if s.usableAsLastResort(u, w, now) {
 				leaving = append(leaving, u)
 			}
 		case a.Silent || now < u.bannedUntil:
@@ -47,6 +48,15 @@
 	return unavailable
 }
 
+// usable reports whether an upstream may take w at all, whatever its state is now.
+func usable(c *configurer.Snapshot, u *upstream, w *Request) bool {
+	a := u.announcement
+	if incarnation, avoid := w.Avoid[a.Name]; avoid && incarnation == a.Incarnation {
+		return false
+	}
+	return a.Pool == w.Pool && !a.Gone && !w.Excluded[a.Name] && (w.Software == nil || a.Software == *w.Software) && !c.Evacuated(a.Domain)
+}
+
 // prediction is what a request may expect of one upstream.
 type prediction struct {
 	upstream      *upstream
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,6 +78,8 @@
 	Unrepeatable bool
 	// Excluded holds the names of upstreams at which this request has failed. May be nil.
 	Excluded map[string]bool
+	// Avoid holds processes of upstreams that may not get the request, by name. May be nil.
+	Avoid map[string]uint64
 	// Software is the version of the software that the upstream must run; nil: any.
 	Software *string
 	// LastResort is set if nothing but an upstream that is leaving can serve the request.
@@ -99,14 +101,18 @@
 	// HostCount returns the number of hosts of the region that use its upstreams. Nil means
 	// one.
 	HostCount func() int
+	// DrainTime is the time, from the first answer that says that an upstream is leaving, after which
+	// nothing may reach it. 0: it gets nothing once it said so.
+	DrainTime time.Duration
 	// Random returns a number in [0, n). Nil means the global generator.
 	Random func(n int) int
 
 	mu              sync.Mutex
-	upstreams       map[string]*upstream // by name; guarded by mu
-	sortedUpstreams []*upstream          // the upstreams, sorted by name; guarded by mu
-	pools           map[string]*pool     // guarded by mu
-	slotFraction    float64              // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
+	upstreams       map[string]*upstream   // by name; guarded by mu
+	sortedUpstreams []*upstream            // the upstreams, sorted by name; guarded by mu
+	pools           map[string]*pool       // guarded by mu
+	kept            map[string]ownRequests // of upstreams that are not announced, by name; guarded by mu
+	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
 }
 
 // pool holds the waiting requests of one pool and its learned delays.
@@ -205,6 +211,9 @@
 	x := &waiter{request: w, enqueuedAt: now, done: make(chan struct{})}
 	candidates := s.candidates(w, now)
 	if len(candidates) == 0 {
+		if left, paused := s.pauseLeft(w, now); paused {
+			return nil, &NoSlotError{Pool: w.Pool, RetryAfter: left}
+		}
 		return nil, ErrNoUpstream
 	}
 	if !p.hasMoreUrgent(w) {
@@ -369,6 +378,7 @@
 	p.firstTokenReceived = true
 	now := s.Timer.Now()
 	p.upstream.lastReceivedAt = now
+	p.endTrial()
 	p.upstream.unreadTokens -= p.uncachedTokens
 	p.upstream.learnDelay(p, now-p.reservedAt)
 	s.pool(p.request.Pool).learnSlowDelay(now - p.reservedAt)
@@ -420,6 +430,7 @@
 	}
 	u.recordOutcome(o, now)
 	if o == Answered {
+		p.endTrial()
 		u.residenceTime += time.Duration(sampleWeight * float64(now-p.reservedAt-u.residenceTime))
 	}
 	q := s.pool(p.request.Pool)
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -143,6 +143,7 @@
 	// leavingUntil is the time until which it may be sent requests of last resort, if it is leaving; 0:
 	// none.
 	leavingUntil time.Duration
+	asked        ownRequests
 }
 
 // UpdateUpstreams replaces the list of the region's upstreams and dispatches waiting requests.
@@ -158,7 +159,7 @@
 		announced[a.Name] = true
 		u := s.upstreams[a.Name]
 		if u == nil || u.announcement.Incarnation != a.Incarnation {
-			replacement := &upstream{delayFactor: 1}
+			replacement := &upstream{delayFactor: 1, asked: s.restoreRequests(a.Name, a.Incarnation)}
 			if u != nil {
 				// Requests that run at the earlier incarnation are released from its own
 				// record.
@@ -179,6 +180,7 @@
 	}
 	for name := range s.upstreams {
 		if !announced[name] {
+			s.keepRequests(name, s.upstreams[name])
 			delete(s.upstreams, name)
 		}
 	}
@@ -204,9 +206,9 @@
 
 // usableAsLastResort reports whether an upstream that is leaving may be sent w. One that is to be taken
 // away whatever it runs gets nothing that cannot be repeated.
-func (u *upstream) usableAsLastResort(w *Request, now time.Duration) bool {
+func (s *Scheduler) usableAsLastResort(u *upstream, w *Request, now time.Duration) bool {
 	a := u.announcement
-	return w.LastResort && now < u.leavingUntil && now >= u.bannedUntil && !a.Silent && !(w.Unrepeatable && a.Left > 0)
+	return w.LastResort && now < s.sendUntil(u) && now >= u.bannedUntil && !a.Silent && !(w.Unrepeatable && a.Left > 0)
 }
 
 // MarkDomainCold treats the upstreams of a failure domain as cold for the warm-up time of their
@@ -312,8 +314,8 @@
 	}
 	u := o.upstream
 	sendUntil := time.Duration(0)
-	if u.announcement.Leaving {
-		sendUntil = u.leavingUntil
+	if u.leaving() {
+		sendUntil = s.sendUntil(u)
 	}
 	p := &Reservation{
 		Name: u.announcement.Name, Address: u.announcement.Address, Incarnation: u.announcement.Incarnation, Software: u.announcement.Software,
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -98,7 +98,7 @@
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
 	}}
-	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
+	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
 	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses}
@@ -110,7 +110,7 @@
 	e.refresher = &refresher.Refresher{
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, SeedAddresses: e.Seeds, SelfReport: e.ownState,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, OnLoads: e.applyLoads,
-		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits,
+		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits, OwnLeavers: e.scheduler.OwnLeavers,
 		Streams: &resumer.Sender{Index: streams},
 		IsBusy:  func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
 	}
@@ -121,7 +121,7 @@
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses,
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
-		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow,
+		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
 		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
 	}
 }
