Older interface: bound the memory for bodies, answers and streams that are kept

What callers would see: an upstream that sends a stream of valid events without end fills the memory of an entry host, as all events are kept to resume the stream; answers of up to 32 MiB and bodies of 8 MiB had no bound together. A service's answer above 8 MiB was cut there and passed on as whole. Cause: a bound for each, if any, and none for all. Change: the budget of bufferer, 128 MiB for all; a kept stream has 32 MiB at most; a service's answer that is too long fails.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -129,6 +129,7 @@
 		}
 		if reply.Status != 0 {
 			headSent = true
+			r.reached++
 			sink.SendHead(int(reply.Status), headerOf(reply.Headers), reply.Length)
 		}
 		if len(reply.Chunk) > 0 {
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -63,7 +63,10 @@
 		return sink.result, r, err
 	}
 	whole := result{Status: 200, Body: "id: 1\n\nid: 2\n\nid: 3\n\n", Finished: true}
-	got, _, err := forward(all)
+	got, answered, err := forward(all)
+	if answered.reached != 1 {
+		t.Errorf("no reply lost: %d upstreams reached, want 1", answered.reached)
+	}
 	if diff := cmp.Diff(whole, got); diff != "" || err != nil {
 		t.Fatalf("no reply lost: error %v, -want +got\n%s", err, diff)
 	}
--- a/internal/scheduler/pause.go
+++ b/internal/scheduler/answer.go
@@ -10,13 +10,13 @@
 const (
 	// Longest pause, which keeps times from overflowing.
 	maxPause = 100 * 365 * 24 * time.Hour
-	// Number of upstreams whose requests to this host are kept while they are not announced.
-	maxKeptRequests = 4096
+	// Number of upstreams whose answerState is kept while they are not announced.
+	maxKeptStates = 4096
 )
 
-// ownRequests is what one process of an upstream asked this host for in its answers. It ends with the
-// process, whatever announcements say.
-type ownRequests struct {
+// answerState is what one process of an upstream said of itself in its answers to this host. It ends with
+// the process, whatever announcements say.
+type answerState struct {
 	incarnation uint64
 	pausedUntil time.Duration // until which it wants nothing from this host; 0: none
 	// trial is set after a pause until an answer comes: until then it gets one request at a time.
@@ -34,7 +34,7 @@
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x := &p.upstream.asked
+	x := &p.upstream.said
 	if x.leavingAt > 0 {
 		return false
 	}
@@ -43,14 +43,14 @@
 }
 
 // leaving reports whether an upstream is leaving, by its announcement or by an answer.
-func (u *upstream) leaving() bool { return u.announcement.Leaving || u.asked.leavingAt > 0 }
+func (u *upstream) leaving() bool { return u.announcement.Leaving || u.said.leavingAt > 0 }
 
 // sendUntil returns the time until which an upstream that is leaving may be sent requests of last resort;
 // 0: none.
 func (s *Scheduler) sendUntil(u *upstream) time.Duration {
-	said := u.asked.leavingAt + s.DrainTime - cataloger.LeavingMargin
+	said := u.said.leavingAt + s.DrainTime - cataloger.LeavingMargin
 	switch {
-	case u.asked.leavingAt == 0:
+	case u.said.leavingAt == 0:
 		return u.leavingUntil
 	case s.DrainTime <= cataloger.LeavingMargin, u.announcement.Leaving && u.leavingUntil == 0:
 		return 0
@@ -67,7 +67,7 @@
 	now := s.Timer.Now()
 	var all []*schema.Leaver
 	for _, u := range s.sortedUpstreams {
-		if at := u.asked.leavingAt; at > 0 && now-at < leaverReportTime {
+		if at := u.said.leavingAt; at > 0 && now-at < leaverReportTime {
 			all = append(all, &schema.Leaver{Upstream: u.announcement.Name, Incarnation: u.announcement.Incarnation, Age: (now - at).Seconds()})
 		}
 	}
@@ -80,7 +80,7 @@
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x := &p.upstream.asked
+	x := &p.upstream.said
 	x.pausedUntil = max(x.pausedUntil, s.Timer.Now()+min(d, maxPause))
 	x.trial = true
 	return x.pausedUntil
@@ -88,7 +88,7 @@
 
 // endTrial ends the trial after a pause if the request was sent after it. The caller holds mu.
 func (p *Reservation) endTrial() {
-	if x := &p.upstream.asked; p.reservedAt >= x.pausedUntil {
+	if x := &p.upstream.said; p.reservedAt >= x.pausedUntil {
 		x.trial = false
 	}
 }
@@ -96,7 +96,7 @@
 // paused reports whether the upstream may get no request now, because of a pause or because the first
 // request after it has no answer yet.
 func (u *upstream) paused(now time.Duration) bool {
-	return now < u.asked.pausedUntil || u.asked.trial && u.running > 0
+	return now < u.said.pausedUntil || u.said.trial && u.running > 0
 }
 
 // pauseLeft returns the time until the first of the upstreams that could take w, but for a pause, may get
@@ -107,7 +107,7 @@
 		if !usable(c, u, w) || u.leaving() || !u.paused(now) {
 			continue
 		}
-		if d := max(minRetryDelay, u.asked.pausedUntil-now); !found || d < left {
+		if d := max(minRetryDelay, u.said.pausedUntil-now); !found || d < left {
 			left, found = d, true
 		}
 	}
@@ -120,33 +120,39 @@
 	defer s.mu.Unlock()
 	now, n := s.Timer.Now(), 0
 	for _, u := range s.sortedUpstreams {
-		if now < u.asked.pausedUntil {
+		if now < u.said.pausedUntil {
 			n++
 		}
 	}
 	return n
 }
 
-// keepRequests keeps what an upstream asked for while it is not announced. The caller holds mu.
-func (s *Scheduler) keepRequests(name string, u *upstream) {
-	if u.asked == (ownRequests{}) {
+// keepAnswerState keeps what an upstream said while it is not announced. The caller holds mu.
+func (s *Scheduler) keepAnswerState(name string, u *upstream) {
+	if u.said == (answerState{}) {
 		return
 	}
-	if s.kept == nil || len(s.kept) >= maxKeptRequests {
-		s.kept = map[string]ownRequests{}
+	if s.kept == nil {
+		s.kept = map[string]answerState{}
 	}
-	x := u.asked
+	for other := range s.kept {
+		if len(s.kept) < maxKeptStates {
+			break
+		}
+		delete(s.kept, other)
+	}
+	x := u.said
 	x.incarnation = u.announcement.Incarnation
 	s.kept[name] = x
 }
 
-// restoreRequests returns what a process asked for before it was not announced for a while. The caller holds
+// restoreAnswerState returns what a process said before it was not announced for a while. The caller holds
 // mu.
-func (s *Scheduler) restoreRequests(name string, incarnation uint64) ownRequests {
+func (s *Scheduler) restoreAnswerState(name string, incarnation uint64) answerState {
 	x, ok := s.kept[name]
 	delete(s.kept, name)
 	if !ok || x.incarnation != incarnation {
-		return ownRequests{}
+		return answerState{}
 	}
 	x.incarnation = 0
 	return x
--- a/internal/scheduler/pause_test.go
+++ b/internal/scheduler/answer_test.go
@@ -94,7 +94,7 @@
 	if p := s.reserveNow(w); p == nil {
 		t.Error("another process is paused")
 	}
-	for i := range 3 * maxKeptRequests {
+	for i := range 3 * maxKeptStates {
 		a := &schema.Announcement{Name: fmt.Sprint("n", i), Pool: "desk", Slots: 1, Incarnation: 1}
 		s.UpdateUpstreams([]*schema.Announcement{a})
 		if p := s.reserveNow(w); p != nil {
@@ -102,8 +102,8 @@
 			p.Release(Rejected)
 		}
 	}
-	if len(s.kept) > maxKeptRequests {
-		t.Errorf("%d pauses are kept, want at most %d", len(s.kept), maxKeptRequests)
+	if len(s.kept) > maxKeptStates {
+		t.Errorf("%d pauses are kept, want at most %d", len(s.kept), maxKeptStates)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,7 +111,7 @@
 	upstreams       map[string]*upstream   // by name; guarded by mu
 	sortedUpstreams []*upstream            // the upstreams, sorted by name; guarded by mu
 	pools           map[string]*pool       // guarded by mu
-	kept            map[string]ownRequests // of upstreams that are not announced, by name; guarded by mu
+	kept            map[string]answerState // of upstreams that are not announced, by name; guarded by mu
 	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
 }
 
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -143,7 +143,7 @@
 	// leavingUntil is the time until which it may be sent requests of last resort, if it is leaving; 0:
 	// none.
 	leavingUntil time.Duration
-	asked        ownRequests
+	said         answerState
 }
 
 // UpdateUpstreams replaces the list of the region's upstreams and dispatches waiting requests.
@@ -159,7 +159,7 @@
 		announced[a.Name] = true
 		u := s.upstreams[a.Name]
 		if u == nil || u.announcement.Incarnation != a.Incarnation {
-			replacement := &upstream{delayFactor: 1, asked: s.restoreRequests(a.Name, a.Incarnation)}
+			replacement := &upstream{delayFactor: 1, said: s.restoreAnswerState(a.Name, a.Incarnation)}
 			if u != nil {
 				// Requests that run at the earlier incarnation are released from its own
 				// record.
@@ -180,7 +180,7 @@
 	}
 	for name := range s.upstreams {
 		if !announced[name] {
-			s.keepRequests(name, s.upstreams[name])
+			s.keepAnswerState(name, s.upstreams[name])
 			delete(s.upstreams, name)
 		}
 	}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/requester"
 	"github.com/trefoilloft/trefoilloft/internal/router"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -24,6 +25,8 @@
 	firstTokenTimeout = 6 * time.Second
 	nextTokenTimeout  = 2 * time.Second
 	maxAnswerBytes    = 32 << 20
+	// Memory that an event takes beyond its bytes.
+	eventOverheadBytes = 24
 )
 
 // errTruncated means that the answer ended early at a point from which it cannot be resumed.
@@ -32,7 +35,9 @@
 // deliveredStream is the part of a stream that has been sent to the caller.
 type deliveredStream struct {
 	events [][]byte // kept to resume; none if another region runs the request
-	tokens int      // one for each event sent
+	bytes  int64    // of events
+	hold   bufferer.Hold
+	tokens int // one for each event sent
 }
 
 // attemptHistory records how the attempts of one request ended. The maps' keys are names of
@@ -82,6 +87,8 @@
 // Completions may be repeated; a stream is resumed after the tokens already delivered.
 func (s *Server) runAttempts(ctx context.Context, c *completion, out answerWriter) error {
 	history := newAttemptHistory()
+	c.delivered.hold.Budget = &s.buffers
+	defer c.delivered.hold.Release()
 	lastErr := error(router.ErrNoUpstream)
 	for n := 0; history.withoutProgress < maxAttemptsWithoutProgress && s.allowAttempt(n); n++ {
 		reservation, err := s.router.Pick(router.Request{
@@ -99,7 +106,7 @@
 		reconnect := history.record(reservation.Name, err, c.delivered.tokens > tokensBefore)
 		s.logAttempt(ctx, c, n, reservation, reconnect, err)
 		s.finishAttempt(ctx, reservation, err, reconnect)
-		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerLeft) || isRefusal(err) {
+		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerLeft) || errors.Is(err, errTruncated) || isRefusal(err) {
 			return err
 		}
 		lastErr = err
@@ -290,15 +297,32 @@
 		if err := out.writeEvent(e, !events.Buffered()); err != nil {
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
-		c.delivered.events = append(c.delivered.events, bytes.Clone(e))
-		c.delivered.tokens++
+		if err := c.delivered.add(e); err != nil {
+			return fmt.Errorf("%w: %w", errTruncated, err)
+		}
+	}
+}
+
+// add keeps an event that was sent to the caller. It returns an error if the stream is too long to be kept.
+func (d *deliveredStream) add(e []byte) error {
+	d.tokens++
+	d.bytes += int64(len(e)) + eventOverheadBytes
+	if d.bytes > maxAnswerBytes {
+		return bufferer.ErrTooLong
 	}
+	if err := d.hold.Grow(d.bytes); err != nil {
+		return err
+	}
+	d.events = append(d.events, bytes.Clone(e))
+	return nil
 }
 
 // copyBody sends an answer to the caller once it is known to be complete and to belong to the
 // request.
 func (s *Server) copyBody(c *completion, a *requester.Answer, out answerWriter) error {
-	b, err := io.ReadAll(io.LimitReader(progressReader{a}, maxAnswerBytes))
+	hold := bufferer.Hold{Budget: &s.buffers}
+	defer hold.Release()
+	b, err := hold.ReadAll(progressReader{a}, maxAnswerBytes)
 	if err != nil {
 		if a.Stalled() {
 			return fmt.Errorf("%w: %w", requester.ErrStalled, err)
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -127,7 +127,7 @@
 }
 
 func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, customer string) (*completion, error) {
-	b, err := readBody(w, r)
+	b, err := s.readBody(w, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/trefoilloft/trefoilloft/internal/authenticator"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -251,14 +252,18 @@
 }
 
 // readBody reads the body of a caller's request: up to maxBodyBytes, within bodyTimeout.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	hold := bufferer.Hold{Budget: &s.buffers}
+	defer hold.Release()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	b, err := hold.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), maxBodyBytes+1)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	case errors.Is(err, bufferer.ErrExhausted):
+		return nil, newRefusal(http.StatusServiceUnavailable, "overloaded", "too many long bodies are being read")
 	case err != nil:
 		return nil, newRefusal(http.StatusBadRequest, "bad_body", "the body could not be read")
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/trefoilloft/trefoilloft/internal/admitter"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
@@ -44,6 +45,8 @@
 	// Longest time for which a draining host waits for its requests to finish.
 	drainTimeout  = 10 * time.Minute
 	pruneInterval = 5 * time.Second
+	// Memory for buffers of all requests together.
+	maxBufferBytes = 128 << 20
 	// Time for which a graceful stop of the gRPC server waits for open streams after the last
 	// request has finished.
 	grpcStopTimeout = time.Second
@@ -78,6 +81,7 @@
 	recordWithdrawnMu sync.Mutex // held while syncWithdrawn proposes withdrawals
 	burn              reporter.Reporter
 	metrics           *metrics
+	buffers           bufferer.Budget // for bodies and answers that are being read, and streams that may be resumed
 	draining          atomic.Bool
 	inflight          atomic.Int64 // requests of callers and of other regions
 	joined            atomic.Bool  // set once the control hosts have listed this host
@@ -88,6 +92,7 @@
 func (s *Server) Open(ctx context.Context) error {
 	s.identity, s.incarnation = rand.Uint64()|1, rand.Uint64()|1
 	s.metrics = newMetrics()
+	s.buffers.Max = maxBufferBytes
 	s.burn.Now = s.Timer.Now
 	s.buildComponents(ctx)
 	if err := s.openRecords(); err != nil {
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/admitter"
 	"github.com/trefoilloft/trefoilloft/internal/authenticator"
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/requester"
 	"github.com/trefoilloft/trefoilloft/internal/router"
@@ -58,7 +58,7 @@
 		s.writeRefusal(w, err)
 		return
 	}
-	if call.body, err = readBody(w, r); err != nil {
+	if call.body, err = s.readBody(w, r); err != nil {
 		s.writeRefusal(w, err)
 		return
 	}
@@ -248,7 +248,9 @@
 		return nil, err
 	}
 	defer answer.Close()
-	b, err := io.ReadAll(io.LimitReader(progressReader{answer}, maxServiceAnswerBytes))
+	hold := bufferer.Hold{Budget: &s.buffers}
+	defer hold.Release()
+	b, err := hold.ReadAll(progressReader{answer}, maxServiceAnswerBytes)
 	if err != nil {
 		return nil, errors.Join(requester.ErrIncomplete, err)
 	}
