Connect the cluster with its controller before requests are served

Cause: the controller set what handlers read when it began to run, which is after the listeners are open; so a first report could meet a cluster without its controller. Found by reading; no run has shown it. Change: it is set when the controller opens. Measured: the package's tests with the race detector.

--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -101,11 +101,16 @@
 	commit      uint64
 }
 
-func (k *Cluster) start(ctx context.Context, c *Controller) {
+// open connects the Cluster with its Controller, before requests are served.
+func (k *Cluster) open(c *Controller) {
 	k.c = c
+	k.Table.Settled = k.settled
+}
+
+func (k *Cluster) start(ctx context.Context) {
+	c := k.c
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
-	k.Table.Settled = k.settled
 	k.findings = &quarantiner.Link{Source: k.Evidence, Register: k.Quarantine}
 	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
@@ -225,7 +230,7 @@
 
 // settled reports whether what other control hosts acknowledged to upstreams is known here.
 func (k *Cluster) settled() bool {
-	now := k.c.Timer.Now()
+	now := k.Table.Timer.Now()
 	if k.c.view.Load().holdsLease(now) {
 		return k.contacts.steady(now)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -105,6 +105,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Cluster != nil {
+		c.Cluster.open(c)
+	}
 	c.name = identity.Name
 	c.waiters = map[uint64]waiter{}
 	c.failure = make(chan error, 1)
@@ -147,7 +150,7 @@
 	if c.Cluster != nil {
 		background, stop := context.WithCancel(ctx)
 		defer stop()
-		c.Cluster.start(background, c)
+		c.Cluster.start(background)
 	}
 	err := c.runUntilFailure(ctx)
 	c.mu.Lock()
