Keep streams from a later process that has the name of the one that began them

Cause: the version of an upstream was that of its last report, which comes seconds late; that its connections broke or were refused told nothing, neither to the host nor to others.

Now a host that sees a process end by its connections doubts what is known of the name, and tells the others; until another process is announced, or 10 s, nothing that depends on the version is sent there, and what it begins is recorded as unknown.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -75,6 +75,10 @@
 	limit       *namedLimit // nil if it named none
 	leaving     leavingTime
 	saidAt      time.Duration // when an entry host last reported an answer that says that it is leaving; 0: never
+	// broken is set if the connections of a host to the process broke, at brokenAt the last time.
+	// breakageAt is the time at which an entry host last reported that; 0: never.
+	broken               bool
+	brokenAt, breakageAt time.Duration
 }
 
 // entryHost is the newest report of an entry host.
@@ -115,16 +119,17 @@
 		// The upstream does not say which of its processes ended: it is the known one.
 		a.Incarnation = old.report.Incarnation
 	}
-	limit, reported := a.Limit, reportedLeaving(a, now)
-	a.Limit, a.Since, a.Claim = nil, nil, 0
+	limit, reported, broken := a.Limit, reportedLeaving(a, now), a.Broken
+	a.Limit, a.Since, a.Claim, a.Broken = nil, nil, 0, nil
 	t.versions.record(a.Pool, a.Software, reportedAt)
 	if old != nil && !newerUpstream(a, old.report) {
 		if a.Incarnation != old.report.Incarnation {
 			return false
 		}
-		// Neither the limit, which comes from answers, nor the time at which the upstream began to leave
-		// is part of its report: they may change while that does not.
+		// The limit, which comes from answers, the time at which the upstream began to leave and what hosts
+		// saw of it are no parts of its report: they may change while that does not.
 		changed := t.storeLeaving(old, a.Leaving, reported)
+		changed = t.storeBroken(old, broken) || changed
 		return limit != nil && t.storeLimit(old, limit, false) || changed
 	}
 	if !t.claimAddress(a) {
@@ -144,6 +149,7 @@
 		updated.direct = direct || old.direct
 		updated.limit = old.limit
 		updated.saidAt = old.saidAt
+		updated.broken, updated.brokenAt, updated.breakageAt = old.broken, old.brokenAt, old.breakageAt
 	}
 	a.Silent = t.unresponsive(updated, now)
 	changed := old == nil || differs(a, old.report)
@@ -153,6 +159,7 @@
 		updated.forwardedAt = 0
 	}
 	t.upstreams[a.Name] = updated
+	changed = t.storeBroken(updated, broken) || changed
 	if limit != nil {
 		changed = t.storeLimit(updated, limit, false) || changed
 	}
@@ -402,6 +409,9 @@
 	if u.leaving.known() {
 		a.Since, a.Claim = proto.Float64((now - u.leaving.at).Seconds()), u.leaving.claim
 	}
+	if u.broken {
+		a.Broken = proto.Float64((now - u.brokenAt).Seconds())
+	}
 	return a
 }
 
--- a/internal/cataloger/leaving.go
+++ b/internal/cataloger/leaving.go
@@ -128,7 +128,7 @@
 	for _, u := range t.upstreams {
 		a := u.report
 		switch {
-		case a.Pool != pool || a.Software != version || a.Gone:
+		case a.Pool != pool || a.Software != version || a.Gone || u.doubtful(now):
 		case !a.Leaving:
 			staying = append(staying, a.Region)
 		case now < t.usableUntil(u):
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -289,7 +289,7 @@
 	reply, err := client.Consult(ctx, &schema.ConsultRequest{
 		Region: k.Self.Region, Address: k.Self.Address, Upstreams: upstreams, Peers: hosts, Cursor: k.cursor, Process: k.process,
 		Loads: k.Table.DirectLoads(), Lender: k.demandReport(), Findings: k.findings.Request(k.process),
-		Limits: k.Table.LimitsToForward(), Leavers: k.Table.LeaversToForward(),
+		Limits: k.Table.LimitsToForward(), Leavers: k.Table.LeaversToForward(), Breakages: k.Table.BreakagesToForward(),
 	})
 	if err != nil || !reply.Leader {
 		k.Table.ResetForwarded()
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -68,6 +68,7 @@
 		k.Table.StoreLimit(l, false)
 	}
 	k.storeLeavers(r.Leavers, r.Address)
+	k.storeBreakages(r.Breakages, r.Address)
 	k.Table.StoreLoads(r.Address, r.Loads)
 	if r.Lender != nil {
 		reply.Allotment = k.Allocator.Allot(r.Lender)
@@ -124,6 +125,7 @@
 	}
 	k.storeLimits(r)
 	k.storeLeavers(r.Leavers, r.Self.Name)
+	k.storeBreakages(r.Breakages, r.Self.Name)
 	reply := &schema.RefreshReply{Age: -1}
 	if confirmedAt := k.lastConfirmedAt(); confirmedAt > 0 {
 		reply.Age = int64(k.c.Timer.Now() - confirmedAt)
@@ -153,6 +155,17 @@
 	}
 }
 
+// storeBreakages stores that connections of entry hosts to upstreams broke.
+func (k *Cluster) storeBreakages(all []*schema.Breakage, from string) {
+	for _, b := range all {
+		if k.Table.StoreBreakage(b) {
+			k.c.Log.Info().Str("upstream", b.Upstream).Uint64("incarnation", b.Incarnation).Float64("age", b.Age).Str("from", from).
+				Msg("connections to the upstream broke")
+			k.requestConsult()
+		}
+	}
+}
+
 // storeLimits stores the limits that upstreams named to an entry host.
 func (k *Cluster) storeLimits(r *schema.RefreshRequest) {
 	for _, l := range r.Limits {
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -20,6 +20,7 @@
 
 // RecordStreams stores which software versions began streams at an entry host.
 func (s *ClusterService) RecordStreams(_ context.Context, r *schema.StreamsRequest) (*schema.StreamsReply, error) {
+	s.Cluster.storeBreakages(r.Breakages, "")
 	s.Cluster.Streams.Store(r.Streams)
 	return &schema.StreamsReply{Process: s.Cluster.Streams.Process}, nil
 }
@@ -30,6 +31,7 @@
 	if known := r.Known; known != nil {
 		reply := &schema.FindStreamReply{Found: true, Pool: known.Pool, Software: known.Software}
 		reply.Regions, reply.Leaving = k.Table.RegionsWith(known.Pool, known.Software)
+		reply.Doubtful = k.Table.Doubtful(known.Pool, known.Software)
 		return reply, nil
 	}
 	reply := resumer.Find(r, k.Streams, k.Table)
@@ -47,10 +49,12 @@
 	reply.Inferred = reply.Inferred && inStep
 	if reply.Found || reply.Inferred {
 		reply.Regions, reply.Leaving = k.Table.RegionsWith(reply.Pool, reply.Software)
+		reply.Doubtful = append(reply.Doubtful, k.Table.Doubtful(reply.Pool, reply.Software)...)
 	}
 	k.c.Log.Info().Uint64("stream", r.Stream).Str("pool", reply.Pool).Str("software", reply.Software).Bool("found", reply.Found).
 		Bool("inferred", reply.Inferred).Bool("conflict", reply.Conflict).Bool("step", inStep).Strs("versions", reply.Versions).Strs("regions", reply.Regions).
-		Bool("usable", reply.Leaving).Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("asked", asked).Msg("version of a stream looked up")
+		Bool("usable", reply.Leaving).Int("leaving", k.Table.LeavingCount(reply.Pool, reply.Software)).Int("doubtful", len(reply.Doubtful)).
+		Int("asked", asked).Msg("version of a stream looked up")
 	return reply, nil
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -93,7 +93,7 @@
 		return false
 	case errors.Is(err, pooler.ErrNotSent), errors.Is(err, errMisdirected):
 		return r.reached == 0 || f.Budget.TakeRetry(r.pool)
-	case s.headSent && !r.resumable():
+	case s.headSent && (!r.resumable() || r.originUnknown):
 		return false
 	case errors.Is(err, errNotRun):
 	case !r.repeatable():
@@ -114,6 +114,7 @@
 	defer cancel()
 	err := f.send(ctx, r, sink, reservation, s)
 	outcome = outcomeOf(ctx, err)
+	f.recordBreak(ctx, r, reservation, err)
 	t.logAttempt(reservation, err, s)
 	return err
 }
@@ -202,6 +203,9 @@
 // receive classifies the head of a response and forwards the response.
 func (f *Forwarder) receive(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
 	verdict := f.Protocol.Classify(a, call.Response)
+	if verdict != Misdirected && verdict != Invalid {
+		reservation.RecordServing(call.OpenedAt())
+	}
 	f.recordLimit(r, reservation, verdict, call.Response.Header)
 	f.recordPause(r, reservation, verdict, call.Response)
 	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,9 @@
 	Borrow func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
 	// OnLeaver is called after an upstream first said in an answer that it is leaving. Nil: not called.
 	OnLeaver func()
+	// OnBreakage is called after the process of an upstream is assumed to have ended, as connections to it
+	// broke. Nil: not called.
+	OnBreakage func()
 	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -84,6 +84,9 @@
 		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion, Leaving: r.lastResort,
 		Avoid: f.leavers.newest(now),
 	}
+	for name, incarnation := range r.avoid {
+		m.Avoid = append(m.Avoid, &schema.Leaver{Upstream: name, Incarnation: incarnation})
+	}
 	if r.software != nil {
 		m.Resume = &schema.Resume{After: r.LastEventID, Request: r.Resumes, Software: *r.software}
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -58,6 +58,7 @@
 	avoid         map[string]uint64 // processes of upstreams that may not run it, by name
 	lastResort    bool              // only an upstream that is leaving can serve it
 	recorded      bool              // the stream that it began is in the Forwarder's Streams
+	originUnknown bool              // another process than that of software may have begun the stream
 }
 
 // Customer returns the name of the customer that sent the request; empty on a route that
--- a/internal/forwarder/resume.go
+++ b/internal/forwarder/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 
@@ -17,19 +18,33 @@
 	foundInferred  = "the only version"
 )
 
-// recordOrigin records the version that began the stream of r, before its first event is sent to the
-// caller. From then on only upstreams of that version may go on with it.
-func (f *Forwarder) recordOrigin(r *Request, reservation *scheduler.Reservation) {
-	if !r.resumable() || r.software != nil {
-		return
+// recordOrigin records the version that began the stream of r, before the first event of an attempt is sent to the
+// caller. From then on only upstreams of that version may go on with it. Known is false if another process
+// than that of the reservation may have sent the event: then no upstream may go on with the stream, and one
+// that should go on with it gets an error.
+func (f *Forwarder) recordOrigin(r *Request, reservation *scheduler.Reservation, known bool) error {
+	switch {
+	case !r.resumable():
+		return nil
+	case r.software != nil && !known:
+		return errors.Join(errUpstreamFailed, errOtherProcess)
+	case r.software != nil:
+		return nil
 	}
-	r.software = &reservation.Software
+	r.originUnknown, r.software = !known, &reservation.Software
 	if f.Streams == nil {
-		return
+		return nil
+	}
+	key := resumer.Key(r.Customer(), r.ID)
+	if known {
+		f.Streams.Add(key, resumer.Origin{Pool: r.pool, Software: reservation.Software}, 0)
+	} else {
+		f.Streams.AddUnknown(key, 0)
+		f.Log.Info().Str("request", r.ID).Str("upstream", reservation.Name).Uint64("incarnation", reservation.Incarnation).Msg("version that begins the stream is not known")
 	}
-	f.Streams.Add(resumer.Key(r.Customer(), r.ID), resumer.Origin{Pool: r.pool, Software: reservation.Software}, 0)
 	r.recorded = true
 	f.announceStream(r, false)
+	return nil
 }
 
 // announceStream makes the record of the stream that r began known to a control host. It is urgent once
@@ -90,6 +105,7 @@
 		return resumer.Origin{}, "", unknown
 	}
 	r.resumeRegions = append([]string{}, reply.Regions...) // not nil: they are known
+	r.avoidDoubtful(reply.Doubtful)
 	r.lastResort = reply.Leaving
 	source := foundElsewhere
 	switch {
--- a/internal/forwarder/resume_test.go
+++ b/internal/forwarder/resume_test.go
@@ -110,6 +110,7 @@
 		{"another host's record", nil, answer(&schema.FindStreamReply{Found: true, Pool: "p", Software: "v2", Regions: []string{"r"}}), went, "u1"},
 		{"another host's record, the version left", nil, answer(&schema.FindStreamReply{Found: true, Pool: "p", Software: "v0"}), gone, ""},
 		{"the only version", nil, answer(&schema.FindStreamReply{Inferred: true, Pool: "p", Software: "v1", Regions: []string{"r"}}), went, "u0"},
+		{"another host's record, connections to the upstream broke", nil, answer(&schema.FindStreamReply{Found: true, Pool: "p", Software: "v2", Regions: []string{"r"}, Doubtful: []*schema.Breakage{{Upstream: "u1", Incarnation: 1}}}), result{Status: 503, Cause: causeNoUpstream}, ""},
 		{"unknown", nil, answer(&schema.FindStreamReply{Versions: []string{"v1"}}), unknown, ""},
 		{"no control host replies", nil, failing, unknown, ""},
 	} {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -72,14 +72,18 @@
 			return errors.Join(errUpstreamFailed, err)
 		}
 		if len(events) > 0 {
-			begun = true
 			if hasContent(events) {
 				watch.recordProgress()
 				reservation.RecordFirstToken()
-				reservation.RecordReceived()
+				reservation.RecordReceived(call.OpenedAt())
 				s.run.RecordProgress()
 			}
-			f.recordOrigin(r, reservation)
+			if !begun {
+				begun = true
+				if err := f.recordOrigin(r, reservation, reservation.KnowsProcess(call.OpenedAt())); err != nil {
+					return err
+				}
+			}
 			if err := f.forwardEvents(r, sink, s, call, events); err != nil {
 				return err
 			}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -64,6 +64,9 @@
 	ErrMalformedResponse = errors.New("pooler: malformed response")
 )
 
+// ErrRefused says that no process listens at an address.
+var ErrRefused = errors.New("pooler: connection refused")
+
 // Causes of ErrMalformedResponse for heads that do not end.
 var (
 	errHeadTooLong          = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
@@ -86,6 +89,7 @@
 // conn is one connection, used by at most one request at a time.
 type conn struct {
 	net.Conn
+	openedAt    time.Duration // time on Timer's clock before it was opened
 	source      *boundedReader
 	reader      *bufio.Reader // reads from source
 	address     string
@@ -299,6 +303,9 @@
 	return c.Response.ContentLength < 0 && len(c.Response.TransferEncoding) == 0
 }
 
+// OpenedAt returns a time on the clock of the Pool's Timer just before the connection was opened.
+func (c *Call) OpenedAt() time.Duration { return c.conn.openedAt }
+
 // Abort closes the connection, so that a Read in progress and all later ones fail. It may be called
 // concurrently with the other methods.
 func (c *Call) Abort() { _ = c.conn.Conn.Close() }
@@ -378,28 +385,37 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	openedAt := p.Timer.Now()
 	d := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAlive: -1}
 	n, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
+	if errors.Is(err, unix.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	} else if err != nil {
 		return nil, err
 	}
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
 	source := &boundedReader{r: n}
-	return &conn{Conn: n, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, nil
+	return &conn{Conn: n, openedAt: openedAt, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, nil
 }
 
 // Refused reports whether an address refuses connections, which means that no process listens there.
 // A connection that is accepted becomes an idle one.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
+	return errors.Is(p.Probe(ctx, address), ErrRefused)
+}
+
+// Probe opens a connection to an address, which becomes an idle one. Its error wraps ErrRefused if no
+// process listens there.
+func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return err
 	}
 	c.idleTimeout = maxIdleTimeout
 	p.pushIdle(c)
-	return false
+	return nil
 }
 
 func (p *Pool) popIdle(address string) *conn {
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -58,6 +58,8 @@
 	// OwnLeavers returns the upstreams that lately said in answers to this host that they are leaving.
 	// Nil: none.
 	OwnLeavers func() []*schema.Leaver
+	// OwnBreakages returns the upstreams to which this host's connections lately broke. Nil: none.
+	OwnBreakages func() []*schema.Breakage
 	// IsBusy reports whether this host handles so many requests that other hosts need its load
 	// more often. Nil: never.
 	IsBusy func() bool
@@ -189,6 +191,9 @@
 	if r.OwnLeavers != nil {
 		request.Leavers = r.OwnLeavers()
 	}
+	if r.OwnBreakages != nil {
+		request.Breakages = r.OwnBreakages()
+	}
 	if r.Findings != nil {
 		request.Findings = r.Findings.Request(r.cursorProcess)
 	}
@@ -256,10 +261,10 @@
 	transit := r.Timer.Now() - sentAt
 	for _, a := range reply.Upstreams {
 		cataloger.AddDelay(a, transit)
-		since, known := a.GetSince(), a.Since != nil
+		since, known, broken := a.GetSince(), a.Since != nil, a.GetBroken()
 		if r.Table.StoreUpstream(a, false) {
 			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
-				Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", since).Bool("dated", known).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("cold", a.Cold).
+				Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", since).Bool("dated", known).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("broken", broken).Float64("cold", a.Cold).
 				Float64("limit", a.Limit.GetRate()).Bool("limited", a.Limit != nil && !a.Limit.Ended).Str("control", r.controlAddress).Msg("upstream learned")
 		}
 	}
--- a/internal/refresher/stream.go
+++ b/internal/refresher/stream.go
@@ -73,15 +73,19 @@
 
 // sendStreams sends what the nearest control host lacks.
 func (r *Refresher) sendStreams(ctx context.Context) error {
-	for range maxStreamBatches {
+	for n := range maxStreamBatches {
 		streams := r.Streams.Batch()
-		if len(streams) == 0 {
+		var breakages []*schema.Breakage
+		if n == 0 && r.OwnBreakages != nil {
+			breakages = r.OwnBreakages()
+		}
+		if len(streams) == 0 && len(breakages) == 0 {
 			return nil
 		}
 		err := ErrNoControl
 		for _, address := range r.nearestControls() {
 			var process uint64
-			if process, err = r.sendStreamsTo(ctx, address, streams); err == nil {
+			if process, err = r.sendStreamsTo(ctx, address, &schema.StreamsRequest{Streams: streams, Breakages: breakages}); err == nil {
 				r.Streams.Received(process)
 				break
 			}
@@ -97,14 +101,14 @@
 // keeps, once more for a control host that has started again.
 const maxStreamBatches = 16
 
-func (r *Refresher) sendStreamsTo(ctx context.Context, address string, streams []*schema.StreamOrigin) (uint64, error) {
+func (r *Refresher) sendStreamsTo(ctx context.Context, address string, request *schema.StreamsRequest) (uint64, error) {
 	conn, err := r.Dialer.Conn(address)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := schema.NewClusterServiceClient(conn).RecordStreams(ctx, &schema.StreamsRequest{Streams: streams})
+	reply, err := schema.NewClusterServiceClient(conn).RecordStreams(ctx, request)
 	return reply.GetProcess(), err
 }
 
--- a/internal/resumer/finder.go
+++ b/internal/resumer/finder.go
@@ -12,6 +12,8 @@
 	// Versions returns the versions that upstreams of a pool had within a time, sorted, and for how long
 	// this process has observed them.
 	Versions(pool string, within time.Duration) (versions []string, observed time.Duration)
+	// Doubtful returns the upstreams of a pool and version under whose names other processes may serve.
+	Doubtful(pool, version string) []*schema.Breakage
 }
 
 const (
@@ -35,6 +37,7 @@
 	o, found, conflict := x.Find(r.Stream)
 	reply.Found, reply.Conflict, reply.Pool, reply.Software = found, conflict, o.Pool, o.Software
 	if found {
+		reply.Doubtful = h.Doubtful(o.Pool, o.Software)
 		return reply
 	}
 	versions, observed := h.Versions(r.Pool, seconds(r.Within))
--- a/internal/resumer/index.go
+++ b/internal/resumer/index.go
@@ -50,7 +50,7 @@
 }
 
 type stream struct {
-	origin   *Origin // nil if hosts named two: it is not known which one holds
+	origin   *Origin // nil if it is not known, or if hosts named two
 	begunAt  time.Duration
 	revision uint64
 }
@@ -59,11 +59,16 @@
 func (x *Index) Add(key uint64, o Origin, age time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.add(key, x.shared(o), age)
+}
+
+// add records a stream; o is nil if it is not known what began it. The caller holds mu.
+func (x *Index) add(key uint64, o *Origin, age time.Duration) {
 	if x.streams == nil {
 		x.streams = map[uint64]stream{}
 	}
 	if old, known := x.streams[key]; known {
-		if old.origin != nil && *old.origin != o {
+		if old.origin != nil && (o == nil || *old.origin != *o) {
 			old.origin = nil
 			x.streams[key] = old
 		}
@@ -71,11 +76,18 @@
 	}
 	now := x.Now()
 	x.revision++
-	x.streams[key] = stream{origin: x.shared(o), begunAt: now - age, revision: x.revision}
+	x.streams[key] = stream{origin: o, begunAt: now - age, revision: x.revision}
 	x.order = append(x.order, key)
 	x.drop(now)
 }
 
+// AddUnknown records that it is not known what began a stream, a time age ago.
+func (x *Index) AddUnknown(key uint64, age time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.add(key, nil, age)
+}
+
 // shared returns one copy of equal origins. The caller holds mu.
 func (x *Index) shared(o Origin) *Origin {
 	if p := x.origins[o]; p != nil {
@@ -98,8 +110,8 @@
 	x.order = x.order[n:]
 }
 
-// Find returns the origin of a stream, and whether there is a record of it. conflict means that hosts
-// named two origins.
+// Find returns the origin of a stream, and whether there is a record of it. conflict means that there is a
+// record which says that the origin is not known, or that hosts named two.
 func (x *Index) Find(key uint64) (o Origin, found, conflict bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -127,6 +139,10 @@
 		if inRange := m.Age >= 0 && m.Age <= RetainTime.Seconds(); !inRange || len(m.Pool) > maxNameLength || len(m.Software) > maxNameLength {
 			continue
 		}
+		if m.Unknown {
+			x.AddUnknown(m.Stream, age)
+			continue
+		}
 		x.Add(m.Stream, Origin{m.Pool, m.Software}, age)
 	}
 }
@@ -146,9 +162,11 @@
 			return list, revision
 		}
 		revision = s.revision
+		m := &schema.StreamOrigin{Stream: key, Age: (now - s.begunAt).Seconds(), Unknown: s.origin == nil}
 		if s.origin != nil {
-			list = append(list, &schema.StreamOrigin{Stream: key, Pool: s.origin.Pool, Software: s.origin.Software, Age: (now - s.begunAt).Seconds()})
+			m.Pool, m.Software = s.origin.Pool, s.origin.Software
 		}
+		list = append(list, m)
 	}
 	return list, x.revision
 }
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -21,7 +21,7 @@
 	var healthy, unreliable, leaving, unavailable []*upstream
 	for _, u := range s.sortedUpstreams {
 		a := u.announcement
-		if !usable(c, u, w) || u.paused(now) {
+		if !usable(c, u, w) || u.paused(now) || (w.Software != nil && u.doubtful(now)) {
 			continue
 		}
 		switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -358,12 +358,14 @@
 	return p.upstream.lastReceivedAt > p.reservedAt
 }
 
-// RecordReceived records that something was received from the upstream.
-func (p *Reservation) RecordReceived() {
+// RecordReceived records that something was received from the upstream on a connection that was opened at a
+// time.
+func (p *Reservation) RecordReceived(openedAt time.Duration) {
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.upstream.lastReceivedAt = s.Timer.Now()
+	p.upstream.conns.recordServing(openedAt)
 }
 
 // RecordFirstToken records that the answer, or its first event, was received. Later calls do
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -144,6 +144,10 @@
 	// none.
 	leavingUntil time.Duration
 	said         answerState
+	// broken is set if connections of any host broke, as reported, at brokenAt the last time.
+	broken   bool
+	brokenAt time.Duration
+	conns    connState
 }
 
 // UpdateUpstreams replaces the list of the region's upstreams and dispatches waiting requests.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -111,8 +111,9 @@
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, SeedAddresses: e.Seeds, SelfReport: e.ownState,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, OnLoads: e.applyLoads,
 		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits, OwnLeavers: e.scheduler.OwnLeavers,
-		Streams: &resumer.Sender{Index: streams},
-		IsBusy:  func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
+		OwnBreakages: e.scheduler.OwnBreakages,
+		Streams:      &resumer.Sender{Index: streams},
+		IsBusy:       func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
 	}
 	e.refresher.Init()
 	e.RetryBudget.Now = e.Timer.Now
@@ -122,6 +123,10 @@
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses,
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
+		OnBreakage: func() {
+			e.refresher.SendStreams(true)
+			e.refresher.ReportNow()
+		},
 		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
 	}
 }
@@ -273,6 +278,7 @@
 	e.scheduler.UpdateOtherLoads(loads)
 	e.scheduler.UpdateUpstreams(e.Table.Upstreams())
 	e.scheduler.UpdateLeaving(e.Table.LeavingUntil())
+	e.scheduler.UpdateBroken(e.Table.BrokenAt())
 	e.scheduler.UpdateLimits(e.Table.Limits())
 	e.Forwarder.SetRegionDigests(digests)
 }
