--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"maps"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -66,18 +67,27 @@
 }
 
 // Encode encodes the configuration with its history and answers.
-func (s *State) Encode() ([]byte, error) {
-	m := s.snapshot.Message()
-	for _, c := range s.history {
-		m.Items = append(m.Items, &schema.Item{Path: fmt.Sprintf("change/%020d", c.Version), Value: &schema.Item_Change{Change: c}})
-	}
-	if s.document != nil {
-		m.Items = append(m.Items, &schema.Item{Path: sourcePath, Value: &schema.Item_Document{Document: s.document}})
-	}
+func (s *State) Encode() ([]byte, error) { return s.Capture()() }
+
+// Capture returns a function that encodes the state as it is now. It may be called concurrently with the
+// methods of s.
+func (s *State) Capture() func() ([]byte, error) {
+	snapshot, history, document := s.snapshot, slices.Clone(s.history), s.document
+	var answers []*schema.Answer
 	for _, request := range s.answerOrder {
-		m.Answers = append(m.Answers, s.answers[request])
+		answers = append(answers, s.answers[request])
+	}
+	return func() ([]byte, error) {
+		m := snapshot.Message()
+		for _, c := range history {
+			m.Items = append(m.Items, &schema.Item{Path: fmt.Sprintf("change/%020d", c.Version), Value: &schema.Item_Change{Change: c}})
+		}
+		if document != nil {
+			m.Items = append(m.Items, &schema.Item{Path: sourcePath, Value: &schema.Item_Document{Document: document}})
+		}
+		m.Answers = answers
+		return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
 // Snapshot returns the configuration in force.
@@ -89,17 +99,18 @@
 // Apply executes one command. A command whose request identity is known gets the stored
 // answer, or a refusal if its content differs. The delta is nil if nothing changed.
 func (s *State) Apply(c *schema.Command) (*schema.Result, *schema.Delta) {
+	if c.Request == "" {
+		return s.execute(c)
+	}
 	digest := commandDigest(c)
-	if a := s.answers[c.Request]; a != nil && c.Request != "" {
+	if a := s.answers[c.Request]; a != nil {
 		if string(a.Digest) != string(digest) {
 			return s.refuse(schema.Refusal_REFUSAL_CONFLICT, "request identity %q was used for another change", c.Request), nil
 		}
 		return a.Result, nil
 	}
 	result, delta := s.execute(c)
-	if c.Request != "" {
-		s.storeAnswer(&schema.Answer{Request: c.Request, Result: result, Digest: digest})
-	}
+	s.storeAnswer(&schema.Answer{Request: c.Request, Result: result, Digest: digest})
 	return result, delta
 }
 
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -82,12 +82,14 @@
 }
 
 // Read returns the newest document if no other host can lead.
-func (s *ClusterService) Read(context.Context, *schema.ReadRequest) (*schema.ReadReply, error) {
+func (s *ClusterService) Read(ctx context.Context, _ *schema.ReadRequest) (*schema.ReadReply, error) {
 	v := s.Cluster.c.view.Load()
 	if !v.holdsLease(s.Cluster.c.Timer.Now()) {
 		return &schema.ReadReply{}, nil
 	}
-	return &schema.ReadReply{Leader: true, Number: v.document.GetNumber(), Source: v.document.GetSource()}, nil
+	reply := &schema.ReadReply{Leader: true, Number: v.document.GetNumber(), Source: v.document.GetSource()}
+	dialer.CompressReply(ctx, proto.Size(reply))
+	return reply, nil
 }
 
 // Borrow lends tokens of a customer to an entry host.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,10 @@
 	heartbeatTicks = 3
 	// Upper bound of ticks run in one step to catch up: enough to end every lease and election.
 	maxCatchUpTicks = 5 * electionTicks
-	// Number of entries applied between two snapshots.
-	entriesPerSnapshot = 5_000
+	// Time after which applying committed entries lets ticks and messages go first.
+	maxApplyTime = 10 * time.Millisecond
+	// Time that a step may take before it is logged as slow.
+	slowStepTime = tickInterval
 	// Time between two runs of reconcile.
 	reconcileInterval = 300 * time.Millisecond
 	// Time between two attempts to open the store again after it failed.
@@ -69,20 +72,24 @@
 
 	// view is the state that may be read without mu.
 	view atomic.Pointer[view]
+	// applyNow has a value while unapplied entries wait for a step.
+	applyNow chan struct{}
 
 	// mu guards the fields below. It is held while a step's output is synced.
-	mu            sync.Mutex
-	tickedUntil   time.Duration // time on Timer's clock up to which the replica has been ticked
-	replica       *replicator.Replica
-	state         *configurer.State
-	appliedIndex  uint64 // index of the last entry applied to state
-	snapshotIndex uint64 // index of the last entry that the stored snapshot covers
-	ballot        *schema.Ballot
-	waiters       map[uint64]waiter // by index of the entry
-	lastRole      replicator.Role
-	draining      bool       // set by Drain; no command is accepted
-	halted        bool       // set by halt; the replica makes no further steps until it is started again
-	failure       chan error // receives the error that halted the replica
+	mu           sync.Mutex
+	tickedUntil  time.Duration // time on Timer's clock up to which the replica has been ticked
+	replica      *replicator.Replica
+	state        *configurer.State
+	appliedIndex uint64          // index of the last entry applied to state
+	unapplied    []*schema.Entry // committed, in order
+	caughtUp     bool            // since it leads, this host has applied all that was committed before
+	compaction   compaction
+	ballot       *schema.Ballot
+	waiters      map[uint64]waiter // by index of the entry
+	lastRole     replicator.Role
+	draining     bool       // set by Drain; no command is accepted
+	halted       bool       // set by halt; the replica makes no further steps until it is started again
+	failure      chan error // receives the error that halted the replica
 }
 
 // waiter holds who waits for the entry that commits at an index in term: each gets its result, or
@@ -111,6 +118,7 @@
 	c.name = identity.Name
 	c.waiters = map[uint64]waiter{}
 	c.failure = make(chan error, 1)
+	c.applyNow = make(chan struct{}, 1)
 	c.metrics = newMetrics()
 	c.senders = senders{
 		dialer: c.Dialer, bulk: &dialer.Dialer{Secret: c.Dialer.Secret, MutualTLS: c.Dialer.MutualTLS, Timer: c.Timer}, timer: c.Timer, dropped: c.metrics.messagesDropped, id: identity.Id, address: c.Settings.Internal,
@@ -125,7 +133,8 @@
 		return err
 	}
 	c.state = state
-	c.appliedIndex, c.snapshotIndex = stored.Snapshot.Index, stored.Snapshot.Index
+	c.appliedIndex, c.unapplied, c.caughtUp = stored.Snapshot.Index, nil, false
+	c.compaction.reset(stored.Snapshot)
 	c.ballot = stored.HardState
 	c.replica = &replicator.Replica{
 		ID: identity.Id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
@@ -147,14 +156,16 @@
 	defer stopTicks()
 	stopReconcile := c.Timer.Every(reconcileInterval, c.reconcile)
 	defer stopReconcile()
+	background, stop := context.WithCancel(ctx)
+	defer stop()
+	go c.runApply(background)
 	if c.Cluster != nil {
-		background, stop := context.WithCancel(ctx)
-		defer stop()
 		c.Cluster.start(background)
 	}
 	err := c.runUntilFailure(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.halted = true // a snapshot that is being encoded must not be stored any more
 	return errors.Join(err, c.Store.Close())
 }
 
@@ -213,9 +224,26 @@
 	if c.halted {
 		return
 	}
+	begunAt, applied := c.Timer.Now(), c.appliedIndex
 	c.advanceClock()
 	f(c.replica)
 	c.processOutput()
+	if took := c.Timer.Now() - begunAt; took > slowStepTime {
+		c.metrics.slowSteps.Inc()
+		c.Log.Info().Dur("took", took).Uint64("applied", c.appliedIndex-applied).Int("unapplied", len(c.unapplied)).Msg("slow step")
+	}
+}
+
+// runApply makes steps until ctx ends while committed entries wait to be applied.
+func (c *Controller) runApply(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.applyNow:
+			c.tick()
+		}
+	}
 }
 
 // advanceClock ticks the replica up to the current time, so that a host that was suspended
@@ -245,18 +273,35 @@
 			return
 		}
 		c.senders.enqueue(o.Messages, c.replica.Members())
-		for _, e := range o.CommittedEntries {
-			c.apply(e)
-		}
+		c.unapplied = append(c.unapplied, o.CommittedEntries...)
 		if n := len(o.Entries); n > 0 {
 			c.replica.RecordSynced(o.Entries[n-1].Index)
 		}
 	}
+	c.applySome()
 	c.updateRole()
 	c.publishView()
 	c.maybeCompact()
 }
 
+// applySome applies committed entries, but no more than maxApplyTime allows: the rest is left to a later
+// step, so that ticks and messages do not wait for a long log. The caller holds mu.
+func (c *Controller) applySome() {
+	until := c.Timer.Now() + maxApplyTime
+	for len(c.unapplied) > 0 && !c.halted {
+		e := c.unapplied[0]
+		c.unapplied = c.unapplied[1:]
+		c.apply(e)
+		if len(c.unapplied) > 0 && c.Timer.Now() >= until {
+			select {
+			case c.applyNow <- struct{}{}:
+			default:
+			}
+			return
+		}
+	}
+}
+
 func (c *Controller) save(o replicator.Output) error {
 	if o.HardState != nil {
 		c.ballot = o.HardState
@@ -277,13 +322,17 @@
 		return err
 	}
 	c.state = state
-	c.appliedIndex, c.snapshotIndex = o.Snapshot.Index, o.Snapshot.Index
+	c.appliedIndex = o.Snapshot.Index
+	c.unapplied = slices.DeleteFunc(c.unapplied, func(e *schema.Entry) bool { return e.Index <= o.Snapshot.Index })
+	c.compaction.reset(o.Snapshot)
 	c.metrics.snapshotsInstalled.Inc()
 	return c.Distributor.Replace(state.Snapshot())
 }
 
 func (c *Controller) apply(e *schema.Entry) {
 	c.appliedIndex = e.Index
+	c.compaction.entries++
+	c.compaction.bytes += len(e.Data)
 	c.metrics.entriesApplied.Inc()
 	w, waiting := c.waiters[e.Index]
 	delete(c.waiters, e.Index)
@@ -300,7 +349,7 @@
 	}
 	result, delta := c.state.Apply(command)
 	if delta != nil {
-		c.publish(delta)
+		c.publish(delta, c.state.Snapshot())
 	}
 	if waiting && w.term == e.Term {
 		w.resolve(result)
@@ -309,10 +358,10 @@
 	}
 }
 
-// publish sends a change to entry hosts. Only committed changes get here, so none is ever
-// revoked.
-func (c *Controller) publish(delta *schema.Delta) {
-	if err := c.Distributor.ApplyDelta(delta); err != nil {
+// publish sends a change, which leads to next, to entry hosts. Only committed changes get here, so none
+// is ever revoked.
+func (c *Controller) publish(delta *schema.Delta, next *configurer.Snapshot) {
+	if err := c.Distributor.Advance(delta, next); err != nil {
 		c.Log.Error().Err(err).Uint64("version", delta.Version).Msg("configuration change could not be distributed; replacing the whole configuration")
 		if err := c.Distributor.Replace(c.state.Snapshot()); err != nil {
 			c.halt(err)
@@ -379,28 +428,6 @@
 	return &schema.LogSnapshot{Index: c.appliedIndex, Term: term, Members: c.replica.MembersAt(c.appliedIndex), State: b}
 }
 
-func (c *Controller) maybeCompact() {
-	if c.appliedIndex-c.snapshotIndex < entriesPerSnapshot || c.halted {
-		return
-	}
-	if err := c.compact(); err != nil {
-		c.halt(err)
-	}
-}
-
-func (c *Controller) compact() error {
-	s := c.captureSnapshot()
-	if s == nil {
-		return nil
-	}
-	c.replica.Compact(s.Index)
-	if err := c.Store.SaveSnapshot(s, c.ballot, c.replica.EntriesAfterSnapshot()); err != nil {
-		return storeError(err)
-	}
-	c.snapshotIndex = s.Index
-	return nil
-}
-
 // Propose replicates a command and returns its result once it is applied on this host.
 // It returns ErrNotLeader if nothing was proposed. After ErrOutcomeUnknown the caller may
 // retry with the same request identifier. It sets the command's time, in Unix seconds.
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -72,7 +72,7 @@
 	c.mu.Lock()
 	c.advanceClock()
 	role, term, _ := c.replica.Status()
-	leads := role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0
+	leads := role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0 && c.caughtUp && len(c.unapplied) == 0
 	snapshot := c.state.Snapshot()
 	c.mu.Unlock()
 	if !leads {
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -100,7 +100,7 @@
 	role, term, leader := c.replica.Status()
 	reply := &schema.StateReply{
 		Name: c.name, Id: c.replica.ID, Term: term, Commit: c.replica.CommitIndex(), Last: c.replica.LastIndex(),
-		Leader:  role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0,
+		Leader:  role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0 && c.caughtUp,
 		Version: c.state.Snapshot().Version, Members: c.replica.Members().Members,
 		Snapshot: c.state.Snapshot().Message(), History: c.state.History(), Hosts: c.acks.list(),
 	}
--- a/internal/controller/storage_test.go
+++ b/internal/controller/storage_test.go
@@ -74,7 +74,11 @@
 			full.Store(true)
 			if failingStep == "snapshot.write" {
 				c.mu.Lock()
-				if err := c.compact(); err != nil {
+				state, err := c.state.Encode()
+				if err == nil {
+					err = c.compact(c.appliedIndex, state)
+				}
+				if err != nil {
 					c.halt(err)
 				}
 				c.mu.Unlock()
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -18,7 +18,7 @@
 	commitIndex  uint64
 	appliedIndex uint64
 	// leaseUntil is the time, on the clock of the controller's Timer, until which no other host
-	// can lead; 0 if this host does not lead.
+	// can lead; 0 if this host does not lead, or has not applied all that was committed before it led.
 	leaseUntil     time.Duration
 	leaderID       uint64 // identity of the leader that this host follows; 0 if unknown
 	leaderResponds bool   // it leads, or received a message from its leader within an election timeout
@@ -34,7 +34,11 @@
 		role: role, term: term, commitIndex: c.replica.CommitIndex(), appliedIndex: c.appliedIndex, leaderID: leader,
 		leaderResponds: c.replica.HasLeader(), members: c.replica.Members(), document: c.state.Document(),
 	}
-	if ticks := c.replica.RemainingLeaseTicks(); ticks > 0 {
+	ticks := c.replica.RemainingLeaseTicks()
+	// A leader has committed an entry of its own when it has a lease: all that any leader committed before
+	// is at or before commitIndex.
+	c.caughtUp = role == replicator.Leader && (c.caughtUp || ticks > 0 && v.appliedIndex >= v.commitIndex)
+	if ticks > 0 && c.caughtUp {
 		v.leaseUntil = c.tickedUntil + time.Duration(ticks)*tickInterval
 	}
 	c.view.Store(v)
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -110,6 +110,21 @@
 	return d.install(next, delta)
 }
 
+// Advance puts next in force, to which delta leads from the version before. One that is not newer than the
+// configuration in force is ignored. After configurer.ErrDeltaMismatch the whole snapshot is needed instead.
+func (d *Distributor) Advance(delta *schema.Delta, next *configurer.Snapshot) error {
+	d.changeMu.Lock()
+	defer d.changeMu.Unlock()
+	current := d.Current()
+	if next.Version <= current.Version {
+		return nil
+	}
+	if next.Version != current.Version+1 {
+		return fmt.Errorf("%w: delta of version %d, snapshot of version %d", configurer.ErrDeltaMismatch, next.Version, current.Version)
+	}
+	return d.install(next, delta)
+}
+
 // Replace puts a snapshot in force if it is newer than the configuration in force, and ignores
 // an older one. One of the same version with another hash gives ErrDiverged.
 func (d *Distributor) Replace(next *configurer.Snapshot) error {
