Judge silence at the leader, doubt what it does not list, keep leavers on disk

An entry host that started again took sound upstreams for silent if they report to another control host; after 90 s it would not have learned of them.

Cause: the acknowledgement of a leaving was in memory only; entry hosts took nothing away; and control hosts judged by the age of reports that come to them only when something changes.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -52,6 +52,8 @@
 	revision      uint64               // rises with each change; guarded by mu
 	upstreams     map[string]*upstream // by name; guarded by mu
 	startedAt     time.Duration
+	follow        followState           // guarded by mu
+	partialAt     time.Duration         // last time at which this host was found not to lead; guarded by mu
 	versions      versionHistory        // guarded by mu
 	addressOwners map[string]string     // address → name of the upstream that started last there; guarded by mu
 	hosts         map[string]*entryHost // by name; guarded by mu
@@ -68,7 +70,7 @@
 	report     *schema.Announcement
 	reportedAt time.Duration
 	revision   uint64
-	// direct is set if the upstream itself sent a report to this host. forwardedAt is the time
+	// direct is set if the upstream itself sent the report to this host. forwardedAt is the time
 	// at which its report was last forwarded; 0: not since its last change.
 	direct      bool
 	forwardedAt time.Duration
@@ -79,6 +81,8 @@
 	// breakageAt is the time at which an entry host last reported that; 0: never.
 	broken               bool
 	brokenAt, breakageAt time.Duration
+	// unconfirmed is set if the followed table did not list the upstream when it listed all.
+	unconfirmed bool
 }
 
 // entryHost is the newest report of an entry host.
@@ -92,6 +96,7 @@
 	// forwardedAt is the time at which the report was last forwarded to the leader; 0: not since
 	// the last change.
 	forwardedAt time.Duration
+	unconfirmed bool // as with upstreams
 }
 
 // Start empties the table and invalidates all positions in it.
@@ -112,6 +117,12 @@
 func (t *Table) StoreUpstream(a *schema.Announcement, direct bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.storeUpstream(a, direct, nil)
+}
+
+// storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. The
+// caller holds mu.
+func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
 	now := t.Timer.Now()
 	reportedAt := now - time.Duration(a.Age*float64(time.Second))
 	old := t.upstreams[a.Name]
@@ -146,12 +157,13 @@
 		updated.reportedAt = max(reportedAt, old.reportedAt)
 		updated.forwardedAt = old.forwardedAt
 		updated.revision = old.revision
-		updated.direct = direct || old.direct
 		updated.limit = old.limit
 		updated.saidAt = old.saidAt
 		updated.broken, updated.brokenAt, updated.breakageAt = old.broken, old.brokenAt, old.breakageAt
 	}
-	a.Silent = t.unresponsive(updated, now)
+	if a.Silent = t.unresponsive(updated, now); silent != nil {
+		a.Silent = *silent
+	}
 	changed := old == nil || differs(a, old.report)
 	if changed {
 		t.revision++
@@ -261,45 +273,48 @@
 }
 
 // Sweep marks upstreams and entry hosts that no longer report, and removes those that have not
-// reported for forgetTimeout. leads means that this host receives the reports of all entry
-// hosts: only then may it mark those as unready. A table that follows another marks nothing and
-// removes only upstreams that have ended.
-func (t *Table) Sweep(leads bool) {
+// reported for forgetTimeout. leads means that this host receives all reports: only then may it judge
+// whether those still report that do not report to it. While another table is followed, that one judges.
+// It returns the names of those that it marked.
+func (t *Table) Sweep(leads bool) (marked []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
+	if !leads {
+		t.partialAt = now
+	}
+	judges := !t.IsMirror && (leads || !t.follow.following(now))
 	for name, u := range t.upstreams {
+		silent := u.report.Silent || judges && t.unresponsive(u, now) && (u.direct || leads && now-t.partialAt > unresponsiveIntervals*t.AnnounceInterval)
 		switch {
-		case now-u.reportedAt > forgetTimeout && (!t.IsMirror || u.report.Gone):
+		case now-u.reportedAt > forgetTimeout && (u.report.Gone || silent):
 			delete(t.upstreams, name)
 			if t.addressOwners[u.report.Address] == name {
 				delete(t.addressOwners, u.report.Address)
 			}
-		case !t.IsMirror && !u.report.Silent && t.unresponsive(u, now):
-			report := proto.Clone(u.report).(*schema.Announcement)
-			report.Silent = true
-			t.revision++
-			u.report, u.revision = report, t.revision
+		case silent && !u.report.Silent:
+			t.markSilent(u, true)
+			marked = append(marked, name)
 		}
 	}
-	t.versions.expire(now)
-	if !t.IsMirror {
-		t.sweepHosts(leads, now)
+	if !leads {
+		marked = append(marked, t.sweepUnconfirmed(now)...)
 	}
+	t.versions.expire(now)
+	return append(marked, t.sweepHosts(leads, now)...)
 }
 
-func (t *Table) sweepHosts(leads bool, now time.Duration) {
+func (t *Table) sweepHosts(leads bool, now time.Duration) (marked []string) {
 	for name, p := range t.hosts {
 		switch {
-		case now-p.reportedAt > forgetTimeout:
+		case now-p.reportedAt > forgetTimeout && !p.report.Ready:
 			delete(t.hosts, name)
-		case leads && p.report.Ready && now-p.reportedAt > hostTimeout:
-			report := proto.Clone(p.report).(*schema.Peer)
-			report.Ready = false
-			t.revision++
-			p.report, p.revision = report, t.revision
+		case leads && p.report.Ready && now-p.reportedAt > hostTimeout && (p.controlAddress == "" || now-t.partialAt > hostTimeout):
+			t.markReady(p, false)
+			marked = append(marked, name)
 		}
 	}
+	return marked
 }
 
 // Upstream returns the newest report of an upstream, also of one that has ended; nil if none is known.
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -84,6 +85,8 @@
 	lastReply            *schema.ConsultReply // last Consult reply of a leader; guarded by mu
 	lastReplyRequestedAt time.Duration        // when lastReply was requested; guarded by mu
 
+	leavers leaverStore
+
 	// Only consultLoop uses the fields below.
 	consultedAddress string // address of the leader that was last sent reports
 	cursor           uint64 // position in the table of the leader
@@ -101,10 +104,20 @@
 	commit      uint64
 }
 
-// open connects the Cluster with its Controller, before requests are served.
-func (k *Cluster) open(c *Controller) {
+// open connects the Cluster with its Controller, before requests are served, and reads what it kept.
+func (k *Cluster) open(c *Controller) error {
 	k.c = c
 	k.Table.Settled = k.settled
+	k.leavers = leaverStore{path: filepath.Join(c.Store.Folder, leaversFile), timer: c.Timer}
+	kept, err := k.leavers.load()
+	if err != nil {
+		return err
+	}
+	for _, a := range kept {
+		k.Table.StoreUpstream(a, true)
+	}
+	c.Log.Info().Int("upstreams", len(kept)).Msg("upstreams read that left before the start")
+	return nil
 }
 
 func (k *Cluster) start(ctx context.Context) {
@@ -120,7 +133,12 @@
 	go k.joinLoop(ctx)
 	go k.consultLoop(ctx)
 	stopMembers := c.Timer.Every(membershipInterval, k.updateMembership)
-	stopSweep := c.Timer.Every(sweepInterval, func() { k.Table.Sweep(c.view.Load().holdsLease(c.Timer.Now())) })
+	stopSweep := c.Timer.Every(sweepInterval, func() {
+		leads := c.view.Load().holdsLease(c.Timer.Now())
+		if marked := k.Table.Sweep(leads); len(marked) > 0 {
+			c.Log.Info().Strs("names", marked).Bool("leader", leads).Msg("upstreams and hosts no longer report")
+		}
+	})
 	stopDecide := c.Timer.Every(decideInterval, k.decideQuarantine)
 	context.AfterFunc(ctx, func() { stopMembers(); stopSweep(); stopDecide() })
 }
@@ -370,15 +388,17 @@
 	transit := k.c.Timer.Now() - requestedAt
 	for _, a := range r.Upstreams {
 		cataloger.AddDelay(a, transit)
-		k.Table.StoreUpstream(a, false)
-	}
-	for _, p := range r.Peers {
-		k.Table.StoreHost(p, leader)
 	}
+	needsWhole := k.Table.Follow(cataloger.Reply{
+		Upstreams: r.Upstreams, Hosts: r.Peers, Whole: r.Process != k.process, Observed: time.Duration(r.Observed * float64(time.Second)), From: leader,
+	}, nil, nil)
 	for _, part := range k.findings.Apply(r.Findings, r.Process) {
 		k.logQuarantine(part, leader)
 	}
 	k.cursor, k.process = r.Cursor, r.Process
+	if needsWhole {
+		k.cursor, k.process = 0, 0
+	}
 	k.Bucket.ApplyAllotment(r.Allotment, requestedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -485,12 +505,18 @@
 	return &schema.Document{Number: reply.Number, Source: reply.Source}, nil
 }
 
-// Announce stores an upstream's report of itself.
-func (k *Cluster) Announce(a *schema.Announcement) {
+// Announce stores an upstream's report of itself. After an error the report must not be acknowledged: that
+// the upstream is leaving would be forgotten if this host restarted.
+func (k *Cluster) Announce(a *schema.Announcement) error {
+	name, leaving := a.Name, a.Leaving || a.Gone
 	if k.Table.StoreUpstream(a, true) {
 		k.c.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("address", a.Address).Str("software", a.Software).
 			Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
 			Bool("leaving", a.Leaving).Bool("gone", a.Gone).Float64("cold", a.Cold).Float64("left", a.Left).Msg("upstream changed")
 		k.requestConsult()
 	}
+	if !leaving {
+		return nil
+	}
+	return k.leavers.keep(k.Table.Upstream(name))
 }
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -76,6 +76,7 @@
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, "")
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
 	reply.Cursor, reply.Process = changes.Cursor, changes.Process
+	reply.Observed = k.Table.Observed(true).Seconds()
 	consultLoads(k.Table, r, reply)
 	reply.Findings = k.storeFindings(r.Findings, r.Address)
 	return reply, nil
@@ -136,6 +137,7 @@
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, r.Self.Region)
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
 	reply.Cursor, reply.Process, reply.Whole = changes.Cursor, changes.Process, changes.Complete
+	reply.Observed = k.Table.Observed(k.c.view.Load().holdsLease(k.c.Timer.Now())).Seconds()
 	reply.Controls = k.c.view.Load().nearestAddresses(r.Self)
 	reply.Leader = k.c.view.Load().leaderAddress()
 	k.fillLoads(r.Self, reply)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -113,7 +113,9 @@
 		return err
 	}
 	if c.Cluster != nil {
-		c.Cluster.open(c)
+		if err := c.Cluster.open(c); err != nil {
+			return errors.Join(err, c.Store.Close())
+		}
 	}
 	c.name = identity.Name
 	c.waiters = map[uint64]waiter{}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -29,7 +29,7 @@
 	// Age of the confirmation above which the next report goes to another control host, even
 	// if the present one replies.
 	maxConfirmationAge = 1500 * time.Millisecond
-	sweepInterval      = 5 * time.Second
+	sweepInterval      = time.Second
 	// Time for which a control host is avoided after a failure, if there is another.
 	failedAvoidDuration = 2 * time.Second
 )
@@ -89,7 +89,11 @@
 // Run sends reports and applies the replies until ctx ends. It always returns nil.
 func (r *Refresher) Run(ctx context.Context) error {
 	r.failedAt = map[string]time.Duration{}
-	stop := r.Timer.Every(sweepInterval, func() { r.Table.Sweep(false) })
+	stop := r.Timer.Every(sweepInterval, func() {
+		if marked := r.Table.Sweep(false); len(marked) > 0 {
+			r.Log.Info().Strs("names", marked).Msg("upstreams and hosts no longer confirmed")
+		}
+	})
 	defer stop()
 	for ctx.Err() == nil {
 		delay := r.reportDelay()
@@ -261,19 +265,17 @@
 	transit := r.Timer.Now() - sentAt
 	for _, a := range reply.Upstreams {
 		cataloger.AddDelay(a, transit)
-		since, known, broken := a.GetSince(), a.Since != nil, a.GetBroken()
-		if r.Table.StoreUpstream(a, false) {
-			r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
-				Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", since).Bool("dated", known).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("broken", broken).Float64("cold", a.Cold).
-				Float64("limit", a.Limit.GetRate()).Bool("limited", a.Limit != nil && !a.Limit.Ended).Str("control", r.controlAddress).Msg("upstream learned")
-		}
-	}
-	for _, p := range reply.Peers {
-		if r.Table.StoreHost(p, r.controlAddress) {
-			r.Log.Info().Str("peer", p.Name).Uint64("incarnation", p.Incarnation).Uint64("number", p.Number).
-				Float64("age", p.Age).Bool("ready", p.Ready).Str("control", r.controlAddress).Msg("host learned")
-		}
 	}
+	needsWhole := r.Table.Follow(cataloger.Reply{
+		Upstreams: reply.Upstreams, Hosts: reply.Peers, Whole: reply.Whole, Observed: time.Duration(reply.Observed * float64(time.Second)), From: r.controlAddress,
+	}, func(a *schema.Announcement) {
+		r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
+			Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", a.GetSince()).Bool("dated", a.Since != nil).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("broken", a.GetBroken()).Float64("cold", a.Cold).
+			Float64("limit", a.Limit.GetRate()).Bool("limited", a.Limit != nil && !a.Limit.Ended).Str("control", r.controlAddress).Msg("upstream learned")
+	}, func(p *schema.Peer) {
+		r.Log.Info().Str("peer", p.Name).Uint64("incarnation", p.Incarnation).Uint64("number", p.Number).
+			Float64("age", p.Age).Bool("ready", p.Ready).Str("control", r.controlAddress).Msg("host learned")
+	})
 	if r.Findings != nil {
 		for _, part := range r.Findings.Apply(reply.Findings, reply.Process) {
 			left, quarantined := r.Findings.Register.Find(part)
@@ -282,6 +284,9 @@
 		}
 	}
 	r.cursor, r.cursorProcess = reply.Cursor, reply.Process
+	if needsWhole {
+		r.cursor, r.cursorProcess = 0, 0
+	}
 	if r.OnLoads != nil {
 		r.OnLoads(reply.Loads, reply.Digests)
 	}
