--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -283,9 +283,8 @@
 	if !leads {
 		t.partialAt = now
 	}
-	judges := !t.IsMirror && (leads || !t.follow.following(now))
 	for name, u := range t.upstreams {
-		silent := u.report.Silent || judges && t.unresponsive(u, now) && (u.direct || leads && now-t.partialAt > unresponsiveIntervals*t.AnnounceInterval)
+		silent := u.report.Silent || t.unresponsive(u, now) && t.judges(u.direct, leads, unresponsiveIntervals*t.AnnounceInterval, now)
 		switch {
 		case now-u.reportedAt > forgetTimeout && (u.report.Gone || silent):
 			delete(t.upstreams, name)
@@ -304,12 +303,25 @@
 	return append(marked, t.sweepHosts(leads, now)...)
 }
 
+// judges reports whether this table may judge by the age of a report that its sender no longer reports.
+// direct means that the report came to this host; others do only while it leads, and count from then on. The
+// caller holds mu.
+func (t *Table) judges(direct, leads bool, interval, now time.Duration) bool {
+	switch {
+	case leads:
+		return direct || now-t.partialAt > interval
+	case t.IsMirror, t.follow.following(now):
+		return false
+	}
+	return direct
+}
+
 func (t *Table) sweepHosts(leads bool, now time.Duration) (marked []string) {
 	for name, p := range t.hosts {
 		switch {
 		case now-p.reportedAt > forgetTimeout && !p.report.Ready:
 			delete(t.hosts, name)
-		case leads && p.report.Ready && now-p.reportedAt > hostTimeout && (p.controlAddress == "" || now-t.partialAt > hostTimeout):
+		case leads && p.report.Ready && now-p.reportedAt > hostTimeout && t.judges(p.controlAddress == "", leads, hostTimeout, now):
 			t.markReady(p, false)
 			marked = append(marked, name)
 		}
--- a/internal/forwarder/resume.go
+++ b/internal/forwarder/resume.go
@@ -18,10 +18,10 @@
 	foundInferred  = "the only version"
 )
 
-// recordOrigin records the version that began the stream of r, before the first event of an attempt is sent to the
-// caller. From then on only upstreams of that version may go on with it. Known is false if another process
-// than that of the reservation may have sent the event: then no upstream may go on with the stream, and one
-// that should go on with it gets an error.
+// recordOrigin records the version that began the stream of r, before the first event of an attempt is sent
+// to the caller. From then on only upstreams of that version may go on with it. known is false if another
+// process than that of the reservation may have sent the event: no upstream may then go on with a stream that
+// it begins, and recordOrigin returns an error if it should go on with one.
 func (f *Forwarder) recordOrigin(r *Request, reservation *scheduler.Reservation, known bool) error {
 	switch {
 	case !r.resumable():
