Wait for the probe before an upstream's process counts as ended

Cause: three broken connections counted as the end of a process at once, so that upstreams which only break off streams were doubted by all hosts for 10 s, and streams could not be taken up. The probe came after that.

--- a/internal/scheduler/breakage.go
+++ b/internal/scheduler/breakage.go
@@ -9,9 +9,10 @@
 
 const (
 	// Number of connections to one process that break, while none that is as old goes on, from which it
-	// is assumed to have ended.
+	// is assumed to have ended unless a probe shows that it serves on. Upstreams also break single ones.
 	minBrokenConns = 3
-	// Time after a break within which another one counts together with it, and time between two probes.
+	// Time after a break within which another one counts together with it, and time between two probes
+	// unless minBrokenConns broke.
 	breakWindow = time.Second
 	// Time for which this host reports that its connections to an upstream broke.
 	breakageReportTime = 3 * time.Second
@@ -29,6 +30,7 @@
 	firstAt, lastAt time.Duration
 	ended           bool          // the process is assumed to have ended
 	probedAt        time.Duration // when a probe last began; 0: never
+	probing         bool
 }
 
 // RecordBroken records that a connection to the upstream broke under a request; refused means that another
@@ -40,11 +42,12 @@
 	defer s.mu.Unlock()
 	x := &p.upstream.conns
 	now := s.Timer.Now()
-	probe = !refused && !x.ended && (x.probedAt == 0 || now-x.probedAt > breakWindow)
+	ended = x.record(now, refused)
+	probe = !x.ended && !x.probing && (x.probedAt == 0 || now-x.probedAt > breakWindow || x.count >= minBrokenConns)
 	if probe {
-		x.probedAt = now
+		x.probedAt, x.probing = now, true
 	}
-	return x.record(now, refused), probe
+	return ended, probe
 }
 
 // record records a break and reports whether the process is assumed to have ended since.
@@ -54,12 +57,12 @@
 		over = now-x.lastAt > cataloger.DoubtTime
 	}
 	if x.count == 0 || over {
-		*x = connState{firstAt: now, probedAt: x.probedAt}
+		*x = connState{firstAt: now, probedAt: x.probedAt, probing: x.probing}
 	}
 	x.count++
 	x.lastAt = now
 	before := x.ended
-	x.ended = x.ended || refused || x.count >= minBrokenConns
+	x.ended = x.ended || refused
 	return x.ended && !before
 }
 
@@ -71,11 +74,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, now := &p.upstream.conns, s.Timer.Now()
+	x.probing = false
 	switch {
 	case refused:
 		return x.record(now, true)
-	case accepted && now-x.firstAt < maxProbeTime:
+	case accepted && now-x.probedAt < maxProbeTime:
 		*x = connState{probedAt: x.probedAt}
+	case x.count >= minBrokenConns:
+		return x.record(now, true)
 	}
 	return false
 }
@@ -90,7 +96,7 @@
 
 func (x *connState) recordServing(openedAt time.Duration) {
 	if x.count > 0 && openedAt < x.firstAt {
-		*x = connState{probedAt: x.probedAt}
+		*x = connState{probedAt: x.probedAt, probing: x.probing}
 	}
 }
 
