--- a/internal/cataloger/breakage_test.go
+++ b/internal/cataloger/breakage_test.go
@@ -8,8 +8,8 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
-// TestBreakagesReachAllTables guards against a host that does not know, or never forgets, that another one
-// saw a process end: 1 to 300 tables that take each other's changes in circles.
+// TestBreakagesReachAllTables guards against a host that does not know that another one saw a process end, and
+// against one that doubts it without end: 1 to 300 tables that take each other's changes in circles.
 func TestBreakagesReachAllTables(t *testing.T) {
 	for _, n := range []int{1, 3, 30, 300} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
--- a/internal/scheduler/breakage.go
+++ b/internal/scheduler/breakage.go
@@ -35,7 +35,8 @@
 
 // RecordBroken records that a connection to the upstream broke under a request; refused means that another
 // one was refused, or that the address belongs to another upstream. It reports whether the process is now
-// assumed to have ended, which it was not before, and whether the caller should find out by Probed.
+// assumed to have ended, which it was not before, and whether the caller should open another connection and
+// call Probed.
 func (p *Reservation) RecordBroken(refused bool) (ended, probe bool) {
 	s := p.scheduler
 	s.mu.Lock()
@@ -50,7 +51,8 @@
 	return ended, probe
 }
 
-// record records a break and reports whether the process is assumed to have ended since.
+// record records a break, which shows the end of the process if refused is set. It reports whether the process
+// is now assumed to have ended, which it was not before.
 func (x *connState) record(now time.Duration, refused bool) bool {
 	over := now-x.lastAt > breakWindow
 	if x.ended {
