Log whether a response states its end, and the IDs of its first and last event

The lines answered and try failed now have unframed (neither a length nor chunks) and began and last, the IDs of the attempt's first and the stream's last event. No logic changes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -177,6 +177,7 @@
 		return errors.Join(pooler.ErrNotSent, err)
 	}
 	s.run = f.observe(r, reservation)
+	s.unframed, s.firstEventID = false, ""
 	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
@@ -191,6 +192,7 @@
 		return errors.Join(errUpstreamFailed, err)
 	}
 	defer call.Close()
+	s.unframed = call.Unframed()
 	err = f.receive(r, sink, reservation, s, a, call)
 	if err == nil && call.Unframed() {
 		s.run.RecordUnframed()
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -93,6 +93,16 @@
 	return string(bytes.TrimSpace(line))
 }
 
+// firstID returns the ID of the first event that has one; empty if none has.
+func firstID(events []byte) string {
+	for line := range bytes.Lines(events) {
+		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
 // hasContent reports whether events hold more than comments, which keep a connection open but do
 // not advance the response.
 func hasContent(events []byte) bool {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -27,6 +27,10 @@
 	headSent bool
 	// lastEventID is the ID of the last complete event that the caller has.
 	lastEventID string
+	// unframed is set if the response of the present attempt states neither a length nor chunks, and
+	// firstEventID is the ID of its first event that has one. Both are for the log.
+	unframed     bool
+	firstEventID string
 	// events counts writes of one or more complete events. headDelay is the time from the
 	// request's arrival to the sending of the head.
 	events    int
@@ -119,6 +123,9 @@
 	f.sendHead(r, sink, s, call)
 	if id := lastID(events); id != "" {
 		s.lastEventID = id
+		if s.firstEventID == "" {
+			s.firstEventID = firstID(events)
+		}
 	}
 	s.events++
 	if err := sink.SendChunk(events); err != nil {
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -52,11 +52,13 @@
 	if err == nil {
 		t.f.Metrics.answered.WithLabelValues(t.r.pool).Inc()
 		t.f.Metrics.requestTime.WithLabelValues(t.r.pool).Observe((t.f.Timer.Now() - t.r.ArrivedAt).Seconds())
-		t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Int("events", s.events).Dur("first", s.headDelay).Msg("answered")
+		t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Int("events", s.events).Dur("first", s.headDelay).
+			Bool("unframed", s.unframed).Str("began", s.firstEventID).Str("last", s.lastEventID).Msg("answered")
 		return
 	}
 	t.f.Metrics.attemptsFailed.WithLabelValues(t.r.pool).Inc()
-	t.withFields(t.f.Log.Warn()).Err(err).Str("upstream", reservation.Name).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Str("last", s.lastEventID).Int("events", s.events).Bool("unsure", t.r.mayHaveRun).Msg("try failed")
+	t.withFields(t.f.Log.Warn()).Err(err).Str("upstream", reservation.Name).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Int("events", s.events).
+		Bool("unframed", s.unframed).Str("began", s.firstEventID).Str("last", s.lastEventID).Bool("unsure", t.r.mayHaveRun).Msg("try failed")
 }
 
 // logResume logs and counts that the caller takes up a stream, and how the version that began it was found.
