Do not take the end of an upstream's process for the end of its response

Callers' streams ended as complete before their last event, and whole bodies were cut short with status 200, when an upstream was killed under a response with neither a length nor chunks. Cause: such a response ends with its connection, and the kernel closes the sockets of a killed process with FIN wherever nothing unread is left in them, as after a whole response.

Evidence: TestAnswersOfKilledUpstreams, a stand-in that closes its listener and then its connection. Before: all 5 cases finished as complete (stream, resumable stream, whole body on an unsafe and a safe route, body over 1 MB); TestAnswersOfReplacedUpstreams likewise. After: truncated, resumed elsewhere, 502, repeated, truncated.

Change: when such a response ends, the upstream is probed before the caller is told that it is complete. The kernel closes the listener, which was opened first, before the connections, so a process that still accepts one has ended the response itself. A connection whose process is known to have been replaced, or assumed to have ended, is not probed. The probe's connection becomes an idle one, in place of the one that ended.

Ruled out: going by the ID of the last event (nothing states the last one), and sending each such stream once more elsewhere (doubles the work of sound ones).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -193,7 +193,7 @@
 	}
 	defer call.Close()
 	s.unframed = call.Unframed()
-	err = f.receive(r, sink, reservation, s, a, call)
+	err = f.receive(ctx, r, sink, reservation, s, a, call)
 	if err == nil && call.Unframed() {
 		s.run.RecordUnframed()
 		return nil
@@ -203,7 +203,7 @@
 }
 
 // receive classifies the head of a response and forwards the response.
-func (f *Forwarder) receive(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
+func (f *Forwarder) receive(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
 	verdict := f.Protocol.Classify(a, call.Response)
 	if verdict != Misdirected && verdict != Invalid {
 		reservation.RecordServing(call.OpenedAt())
@@ -227,14 +227,14 @@
 	}
 	r.mayHaveRun = true
 	if verdict == Valid && r.isStream() && call.Response.StatusCode == http.StatusOK {
-		return f.forwardStream(r, sink, reservation, s, call)
+		return f.forwardStream(ctx, r, sink, reservation, s, call)
 	}
-	return f.forwardWhole(r, sink, reservation, s, call, verdict)
+	return f.forwardWhole(ctx, r, sink, reservation, s, call, verdict)
 }
 
 // forwardWhole reads a response completely before the caller gets any of it, unless its body
 // has maxBufferedBytes or more, or there is no memory to keep it.
-func (f *Forwarder) forwardWhole(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
+func (f *Forwarder) forwardWhole(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
 	hold := bufferer.Hold{Budget: f.Buffers}
 	defer func() { hold.Release() }()
 	b, err := hold.ReadAll(call, maxBufferedBytes)
@@ -242,6 +242,11 @@
 	if err != nil && !large {
 		return errors.Join(errUpstreamFailed, err)
 	}
+	if !large {
+		if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+			return err
+		}
+	}
 	reservation.RecordFirstToken()
 	if verdict == UpstreamError {
 		if s.headSent || (r.repeatable() && r.attempts < int(r.route.Attempts) && !large) {
@@ -263,6 +268,9 @@
 		if err := copyRest(sink, call); err != nil {
 			return err
 		}
+		if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+			return errors.Join(errTruncated, err)
+		}
 	}
 	sink.Finish()
 	return nil
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -62,7 +63,7 @@
 // forwardStream forwards events as they arrive, only complete ones. The caller never gets
 // part of an event that the upstream truncated, so another upstream can resume the stream
 // after the last complete event.
-func (f *Forwarder) forwardStream(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call) error {
+func (f *Forwarder) forwardStream(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call) error {
 	watch := newStallWatch(f.Timer, stallTimeout(r.route), call.Abort)
 	defer watch.end()
 	buffer := eventBuffer{hold: bufferer.Hold{Budget: f.Buffers}}
@@ -94,6 +95,9 @@
 		}
 		switch {
 		case readErr == io.EOF && !buffer.incomplete() && (begun || !call.Unframed()):
+			if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+				return err
+			}
 			f.sendHead(r, sink, s, call)
 			sink.Finish()
 			return nil
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -4,9 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
 // unframed responds with neither a length nor chunks, so that the body ends with the connection,
@@ -66,3 +69,68 @@
 		}
 	}
 }
+
+// killed responds as unframed does, and ends as a process that is killed: first its listener is closed, then
+// its connections, without a reset.
+func killed(t *testing.T, body string) scriptStep {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body); err != nil {
+			t.Error(err)
+		}
+		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+	}
+}
+
+// TestAnswersOfKilledUpstreams guards against taking an answer without a length or chunks for complete
+// although its connection ended with the upstream's process.
+func TestAnswersOfKilledUpstreams(t *testing.T) {
+	good := []scriptStep{text(200, "good")}
+	first := "id: 1\ndata: a\n\n"
+	large := strings.Repeat("x", maxBufferedBytes+1)
+	for _, c := range []struct {
+		name, path string
+		body       string
+		second     []scriptStep
+		want       result
+		arrivals   []string
+	}{
+		{"stream", "/stream/x", first, good, result{Status: 200, Body: first, Aborted: true}, []string{"u0"}},
+		{"stream, resumed", "/resume/x", first, []scriptStep{text(200, "id: 2\ndata: b\n\n")}, result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1 1"}},
+		{"whole answer", "/unsafe/x", "o", good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
+		{"whole answer, repeated", "/safe/x", "o", good, result{Status: 200, Body: "good", Finished: true}, []string{"u0", "u1"}},
+		{"long answer", "/unsafe/x", large, good, result{Status: 200, Body: large, Aborted: true}, []string{"u0"}},
+	} {
+		s := newSystem(t, []scriptStep{killed(t, c.body)}, c.second)
+		s.preferFirst()
+		got := s.call(c.path, "")
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%.500s", c.name, diff)
+		}
+		if diff := cmp.Diff(c.arrivals, s.allArrivals()); diff != "" {
+			t.Errorf("%s: arrivals: -want +got\n%s", c.name, diff)
+		}
+	}
+}
+
+// TestAnswersOfReplacedUpstreams guards against taking an answer without a length or chunks for complete
+// although its upstream's process has ended and another one serves at the address.
+func TestAnswersOfReplacedUpstreams(t *testing.T) {
+	var s *system
+	step := func(w http.ResponseWriter, r *http.Request) {
+		s.Scheduler.UpdateUpstreams([]*schema.Announcement{
+			{Name: "u0", Address: r.Context().Value(http.LocalAddrContextKey).(net.Addr).String(), Pool: "p", Region: "r", Domain: "d", Slots: 4, Incarnation: 2},
+		})
+		unframed(t, "id: 1\ndata: a\n\n", false)(w, r)
+	}
+	s = newSystem(t, []scriptStep{step})
+	want := result{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}
+	if diff := cmp.Diff(want, s.call("/stream/x", "")); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -300,7 +300,7 @@
 // Unframed reports whether the body of the response has neither a length nor chunks: it ends with the
 // connection.
 func (c *Call) Unframed() bool {
-	return c.Response.ContentLength < 0 && len(c.Response.TransferEncoding) == 0
+	return c.Response.ContentLength < 0 && len(c.Response.TransferEncoding) == 0 && c.Response.Body != http.NoBody
 }
 
 // OpenedAt returns a time on the clock of the Pool's Timer just before the connection was opened.
--- a/internal/scheduler/breakage.go
+++ b/internal/scheduler/breakage.go
@@ -118,6 +118,18 @@
 	return openedAt < u.brokenAt-maxBreakageDelay
 }
 
+// ProcessEnded reports whether the process at the other end of a connection that was opened at a time is assumed
+// to have ended, or has been replaced by another one of its name.
+func (p *Reservation) ProcessEnded(openedAt time.Duration) bool {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.upstreams[p.Name]; u != nil && u.announcement.Incarnation != p.Incarnation {
+		return true
+	}
+	return p.upstream.conns.ended && openedAt < p.upstream.conns.firstAt
+}
+
 // doubtful reports whether another process may serve under the name of u: no request that depends on the
 // version of its software may be sent there.
 func (u *upstream) doubtful(now time.Duration) bool {
