Check that responses and events continue the stream that a caller has begun

A stream had begun and broke off; the next upstream responded with something else. Cause: once the head was sent, receive forwarded every response that Classify calls valid, with a second head and a Finish, and forwardStream forwarded whatever came between empty lines, from any ID on, also where a caller takes a stream up.

Change: within an answer only status 200 with the media type of the stream goes on. eventSequence checks each event before it is forwarded: a number above the last one, at first after a continuation an ID in any case, and a line that the format of event streams defines. What is in order before the fault is forwarded, then the attempt counts as failed and another upstream may go on. A stream with an event without ID is not resumed. An event may also end with a line feed and CR LF.

Not refused: larger steps between numbers, as several tokens may come in one event, and a whole response without events, which is the rest after the last event.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -93,7 +93,7 @@
 		return false
 	case errors.Is(err, pooler.ErrNotSent), errors.Is(err, errMisdirected):
 		return r.reached == 0 || f.Budget.TakeRetry(r.pool)
-	case s.headSent && (!r.resumable() || r.originUnknown):
+	case s.headSent && (!r.resumable() || r.originUnknown || s.unnumbered):
 		return false
 	case errors.Is(err, errNotRun):
 	case !r.repeatable():
@@ -226,6 +226,11 @@
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
 	}
 	r.mayHaveRun = true
+	if s.headSent {
+		if err := checkContinuation(call.Response, s.mediaType); err != nil {
+			return errors.Join(errUpstreamFailed, err)
+		}
+	}
 	if verdict == Valid && r.isStream() && call.Response.StatusCode == http.StatusOK {
 		return f.forwardStream(ctx, r, sink, reservation, s, call)
 	}
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -52,7 +52,7 @@
 	}
 	e.b = append(e.b, received...)
 	e.complete = 0
-	from := max(0, e.searched-len("\r\n\r"))
+	from := max(0, e.searched-len("\n\r"))
 	if end := lastEventEnd(e.b[from:]); end > 0 {
 		e.complete = from + end
 	}
@@ -72,37 +72,12 @@
 	if at := bytes.LastIndex(b, []byte("\n\n")); at >= 0 {
 		end = at + 2
 	}
-	if at := bytes.LastIndex(b, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+4)
+	if at := bytes.LastIndex(b, []byte("\n\r\n")); at >= 0 {
+		end = max(end, at+3)
 	}
 	return end
 }
 
-// lastID returns the ID of the last event that has one; empty if none has.
-func lastID(events []byte) string {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		events = events[at+4:]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[3:]
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line))
-}
-
-// firstID returns the ID of the first event that has one; empty if none has.
-func firstID(events []byte) string {
-	for line := range bytes.Lines(events) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
-
 // hasContent reports whether events hold more than comments, which keep a connection open but do
 // not advance the response.
 func hasContent(events []byte) bool {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -28,6 +28,10 @@
 	headSent bool
 	// lastEventID is the ID of the last complete event that the caller has.
 	lastEventID string
+	// mediaType is that of the response whose head the caller has. unnumbered is set if the caller has an event
+	// without an ID: the stream cannot be resumed after it.
+	mediaType  string
+	unnumbered bool
 	// unframed is set if the response of the present attempt states neither a length nor chunks, and
 	// firstEventID is the ID of its first event that has one. Both are for the log.
 	unframed     bool
@@ -68,6 +72,7 @@
 	defer watch.end()
 	buffer := eventBuffer{hold: bufferer.Hold{Budget: f.Buffers}}
 	defer buffer.hold.Release()
+	sequence := newEventSequence(r, s)
 	begun := false
 	b := make([]byte, streamBufferBytes)
 	for {
@@ -76,6 +81,8 @@
 		if err != nil {
 			return errors.Join(errUpstreamFailed, err)
 		}
+		inOrder, orderErr := sequence.add(events)
+		events = events[:inOrder]
 		if len(events) > 0 {
 			if hasContent(events) {
 				watch.recordProgress()
@@ -89,11 +96,13 @@
 					return err
 				}
 			}
-			if err := f.forwardEvents(r, sink, s, call, events); err != nil {
+			if err := f.forwardEvents(r, sink, s, call, &sequence, events); err != nil {
 				return err
 			}
 		}
 		switch {
+		case orderErr != nil:
+			return errors.Join(errUpstreamFailed, orderErr)
 		case readErr == io.EOF && !buffer.incomplete() && (begun || !call.Unframed()):
 			if err := f.checkEnd(ctx, r, reservation, call); err != nil {
 				return err
@@ -116,6 +125,7 @@
 		return
 	}
 	s.headSent = true
+	s.mediaType = mediaTypeOf(call.Response)
 	s.headDelay = f.Timer.Now() - r.ArrivedAt
 	if s.stopTimeout != nil {
 		s.stopTimeout()
@@ -123,14 +133,12 @@
 	sink.SendHead(call.Response.StatusCode, f.Protocol.ResponseHeader(call.Response.Header), -1)
 }
 
-func (f *Forwarder) forwardEvents(r *Request, sink Sink, s *responseState, call *pooler.Call, events []byte) error {
+func (f *Forwarder) forwardEvents(r *Request, sink Sink, s *responseState, call *pooler.Call, sequence *eventSequence, events []byte) error {
 	f.sendHead(r, sink, s, call)
-	if id := lastID(events); id != "" {
-		s.lastEventID = id
-		if s.firstEventID == "" {
-			s.firstEventID = firstID(events)
-		}
+	if sequence.first != "" {
+		s.firstEventID, s.lastEventID = sequence.first, sequence.last
 	}
+	s.unnumbered = sequence.unnumbered
 	s.events++
 	if err := sink.SendChunk(events); err != nil {
 		return errors.Join(errCallerDisconnected, err)
