--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -91,7 +92,6 @@
 // although its connection ended with the upstream's process.
 func TestAnswersOfKilledUpstreams(t *testing.T) {
 	good := []scriptStep{text(200, "good")}
-	first := "id: 1\ndata: a\n\n"
 	large := strings.Repeat("x", maxBufferedBytes+1)
 	for _, c := range []struct {
 		name, path string
@@ -100,8 +100,8 @@
 		want       result
 		arrivals   []string
 	}{
-		{"stream", "/stream/x", first, good, result{Status: 200, Body: first, Aborted: true}, []string{"u0"}},
-		{"stream, resumed", "/resume/x", first, []scriptStep{text(200, "id: 2\ndata: b\n\n")}, result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1 1"}},
+		{"stream", "/stream/x", firstEvent, good, result{Status: 200, Body: firstEvent, Aborted: true}, []string{"u0"}},
+		{"stream, resumed", "/resume/x", firstEvent, []scriptStep{text(200, secondEvent)}, result{Status: 200, Body: events, Finished: true}, []string{"u0", "u1 1"}},
 		{"whole answer", "/unsafe/x", "o", good, result{Status: 502, Cause: causeLost}, []string{"u0"}},
 		{"whole answer, repeated", "/safe/x", "o", good, result{Status: 200, Body: "good", Finished: true}, []string{"u0", "u1"}},
 		{"long answer", "/unsafe/x", large, good, result{Status: 200, Body: large, Aborted: true}, []string{"u0"}},
@@ -118,6 +118,45 @@
 	}
 }
 
+// proxyOfKilled returns the address of a proxy whose upstream ends under the first request, in the middle of a
+// response without a length or chunks. It goes on accepting connections and closes them.
+func proxyOfKilled(t *testing.T, body string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for first := true; ; first = false {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if first {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					t.Error(err)
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body)
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestAnswersOfKilledUpstreamsBehindProxies guards against taking an answer without a length or chunks for
+// complete because something in front of the upstream whose process has ended accepts connections.
+func TestAnswersOfKilledUpstreamsBehindProxies(t *testing.T) {
+	s := newSystem(t, []scriptStep{text(200, events)})
+	s.Scheduler.UpdateUpstreams([]*schema.Announcement{
+		{Name: "u0", Address: proxyOfKilled(t, firstEvent), Pool: "p", Region: "r", Domain: "d", Slots: 4, Incarnation: 1},
+	})
+	want := result{Status: 200, Body: firstEvent, Aborted: true}
+	if diff := cmp.Diff(want, s.call("/stream/x", "")); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+}
+
 // TestAnswersOfReplacedUpstreams guards against taking an answer without a length or chunks for complete
 // although its upstream's process has ended and another one serves at the address.
 func TestAnswersOfReplacedUpstreams(t *testing.T) {
@@ -126,10 +165,10 @@
 		s.Scheduler.UpdateUpstreams([]*schema.Announcement{
 			{Name: "u0", Address: r.Context().Value(http.LocalAddrContextKey).(net.Addr).String(), Pool: "p", Region: "r", Domain: "d", Slots: 4, Incarnation: 2},
 		})
-		unframed(t, "id: 1\ndata: a\n\n", false)(w, r)
+		unframed(t, firstEvent, false)(w, r)
 	}
 	s = newSystem(t, []scriptStep{step})
-	want := result{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}
+	want := result{Status: 200, Body: firstEvent, Aborted: true}
 	if diff := cmp.Diff(want, s.call("/stream/x", "")); diff != "" {
 		t.Errorf("-want +got\n%s", diff)
 	}
