A continuation without events does not complete a stream

Such a response cannot be told from that to a stream that broke off after its last event; it is broken off now, and the caller takes it up itself.

--- a/internal/forwarder/continuation_test.go
+++ b/internal/forwarder/continuation_test.go
@@ -33,6 +33,8 @@
 		{"the last event again", text(200, firstEvent+secondEvent), broken},
 		{"an earlier number", text(200, "id: 0\ndata: x\n\n"+secondEvent), broken},
 		{"without a number", text(200, "data: {\"error\":\"failed\"}\n\n"), broken},
+		{"nothing", text(200, ""), broken},
+		{"a comment", text(200, ": nothing\n\n"), result{Status: 200, Body: firstEvent + ": nothing\n\n", Aborted: true}},
 		{"the rest", text(200, secondEvent), whole},
 		{"the rest, after a comment", text(200, ": again\n\n"+secondEvent), result{Status: 200, Body: firstEvent + ": again\n\n" + secondEvent, Finished: true}},
 		{"the rest, with larger steps", text(200, "id: 10\ndata: b\n\nid: 300\ndata: c\n\n"), result{Status: 200, Body: firstEvent + "id: 10\ndata: b\n\nid: 300\ndata: c\n\n", Finished: true}},
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -73,7 +74,7 @@
 	buffer := eventBuffer{hold: bufferer.Hold{Budget: f.Buffers}}
 	defer buffer.hold.Release()
 	sequence := newEventSequence(r, s)
-	begun := false
+	withinAnswer, begun := s.headSent, false
 	b := make([]byte, streamBufferBytes)
 	for {
 		n, readErr := call.Read(b)
@@ -103,6 +104,8 @@
 		switch {
 		case orderErr != nil:
 			return errors.Join(errUpstreamFailed, orderErr)
+		case readErr == io.EOF && withinAnswer && sequence.first == "":
+			return errors.Join(errUpstreamFailed, fmt.Errorf("%w: it holds no event", errNotContinued))
 		case readErr == io.EOF && !buffer.incomplete() && (begun || !call.Unframed()):
 			if err := f.checkEnd(ctx, r, reservation, call); err != nil {
 				return err
