Keep a connection beside an unframed response that shows whether its process goes on

Cause: a new connection says nothing of the process behind an earlier one. Change: when such a response begins, a witness, an idle or a new connection, is taken for its time; it must still be open 25 ms after the end. If the upstream closes it as it is idle, it is replaced while the response goes on. Pool.Verify goes: the witness needs no connection at the end.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -226,7 +226,7 @@
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
 	}
 	r.mayHaveRun = true
-	if s.headSent {
+	if s.headSent || r.takesUp() && verdict == Valid && call.Response.StatusCode < 300 {
 		if err := checkContinuation(call.Response, s.mediaType); err != nil {
 			return errors.Join(errUpstreamFailed, err)
 		}
@@ -242,13 +242,15 @@
 func (f *Forwarder) forwardWhole(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
 	hold := bufferer.Hold{Budget: f.Buffers}
 	defer func() { hold.Release() }()
+	end := f.newEndCheck(ctx, r, reservation, call)
+	defer end.Close()
 	b, err := hold.ReadAll(call, maxBufferedBytes)
 	large := errors.Is(err, bufferer.ErrTooLong) || errors.Is(err, bufferer.ErrExhausted)
 	if err != nil && !large {
 		return errors.Join(errUpstreamFailed, err)
 	}
 	if !large {
-		if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+		if err := end.check(ctx); err != nil {
 			return err
 		}
 	}
@@ -273,7 +275,7 @@
 		if err := copyRest(sink, call); err != nil {
 			return err
 		}
-		if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+		if err := end.check(ctx); err != nil {
 			return errors.Join(errTruncated, err)
 		}
 	}
--- a/internal/forwarder/continuation_test.go
+++ b/internal/forwarder/continuation_test.go
@@ -65,7 +65,10 @@
 		{"the last event again", text(200, "id: 7\ndata: g\n\n"+rest), want},
 		{"without a number", text(200, "data: g\n\n"+rest), want},
 		{"error with its head", text(200, wholeHead), want},
+		{"no content", text(204, ""), want},
+		{"partial content", text(206, rest), want},
 		{"the rest", text(200, rest), want},
+		{"nothing", text(200, ""), result{Status: 200, Finished: true}},
 		{"not found", text(404, "no such run"), result{Status: 404, Body: "no such run", Finished: true}},
 	} {
 		s := newSystem(t, []scriptStep{c.first}, good)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -77,6 +77,9 @@
 	return r.route.Kind == schema.RouteKind_ROUTE_STREAM && r.route.Resumable
 }
 
+// takesUp reports whether the caller takes up a stream that it has the beginning of.
+func (r *Request) takesUp() bool { return r.resumable() && r.LastEventID != "" }
+
 // sharedPrefix returns the ID of the last part of the prompt that other requests share;
 // empty if none.
 func (r *Request) sharedPrefix() string {
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -52,7 +52,7 @@
 // or up to the one from which it takes up the stream.
 func newEventSequence(r *Request, s *responseState) eventSequence {
 	last := s.lastEventID
-	if r.resumable() {
+	if r.takesUp() {
 		last = cmp.Or(last, r.LastEventID)
 	}
 	return eventSequence{last: last, continues: last != "", unnumbered: s.unnumbered}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -73,6 +73,8 @@
 	defer watch.end()
 	buffer := eventBuffer{hold: bufferer.Hold{Budget: f.Buffers}}
 	defer buffer.hold.Release()
+	end := f.newEndCheck(ctx, r, reservation, call)
+	defer end.Close()
 	sequence := newEventSequence(r, s)
 	withinAnswer, begun := s.headSent, false
 	b := make([]byte, streamBufferBytes)
@@ -90,6 +92,7 @@
 				reservation.RecordFirstToken()
 				reservation.RecordReceived(call.OpenedAt())
 				s.run.RecordProgress()
+				end.recordProgress(ctx)
 			}
 			if !begun {
 				begun = true
@@ -107,7 +110,7 @@
 		case readErr == io.EOF && withinAnswer && sequence.first == "":
 			return errors.Join(errUpstreamFailed, fmt.Errorf("%w: it holds no event", errNotContinued))
 		case readErr == io.EOF && !buffer.incomplete() && (begun || !call.Unframed()):
-			if err := f.checkEnd(ctx, r, reservation, call); err != nil {
+			if err := end.check(ctx); err != nil {
 				return err
 			}
 			f.sendHead(r, sink, s, call)
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -173,3 +173,42 @@
 		t.Errorf("-want +got\n%s", diff)
 	}
 }
+
+// TestAnswersOfUpstreamsThatStartAgain guards against taking an answer without a length or chunks for complete
+// because another process serves at the address as soon as the one that sent it has ended.
+func TestAnswersOfUpstreamsThatStartAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		var ofProcess []net.Conn // connections of the process that ends
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			ofProcess = append(ofProcess, c)
+			if len(ofProcess) == 1 {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					t.Error(err)
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+firstEvent)
+				continue
+			}
+			for _, c := range ofProcess {
+				_ = c.Close()
+			}
+			ofProcess = nil
+		}
+	}()
+	s := newSystem(t, []scriptStep{text(200, events)})
+	s.Scheduler.UpdateUpstreams([]*schema.Announcement{
+		{Name: "u0", Address: l.Addr().String(), Pool: "p", Region: "r", Domain: "d", Slots: 4, Incarnation: 1},
+	})
+	want := result{Status: 200, Body: firstEvent, Aborted: true}
+	if diff := cmp.Diff(want, s.call("/stream/x", "")); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -48,8 +48,6 @@
 	// Maximum number of lines of a head. Fields of different names take much more memory than bytes on
 	// the wire.
 	maxHeadLines = 1000
-	// Time for which a new connection must stay open to show that the upstream's process serves.
-	verifyTime = 50 * time.Millisecond
 	// Memory that a head takes, as a multiple of its bytes.
 	headMemoryFactor = 4
 )
@@ -420,34 +418,6 @@
 	return nil
 }
 
-// Verify opens a connection to an address, which becomes an idle one, and returns an error unless it is still
-// open after verifyTime: one that is accepted in the name of a process that has ended is closed at once, by the
-// system with the process's listener, or by a proxy.
-func (p *Pool) Verify(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	passed := make(chan struct{})
-	stop := p.Timer.Once(verifyTime, func() { close(passed) })
-	defer stop()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-		_ = c.Conn.Close()
-		return ctx.Err()
-	}
-	if !nothingReceived(c.Conn) {
-		_ = c.Conn.Close()
-		return errClosedAtOnce
-	}
-	c.idleTimeout = maxIdleTimeout
-	p.pushIdle(c)
-	return nil
-}
-
-var errClosedAtOnce = errors.New("pooler: a new connection was closed at once")
-
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
