Believe a refusal only if it is proved to be the request's

A 421 that came once more also made this host take a process for ended and leave its upstream out.

Cause: Classify compared IDs only where the response had one, so a refusal without an ID was attributed to the request sent last. And a request could be sent on a connection on which its ID had been refused: a caller that uses an ID again, or our own second send to the same address after 421. There the ID proves nothing.

Ruled out: a refusal with another ID (not believed before either); bytes left over (a response that is not believed is not drained, so its connection is closed; the others are found by Close, nothingReceived or their ID); gRPC, whose replies belong to streams; other HTTP clients of this path: there are none, upstreams announce themselves.

Change: the pool remembers, on each connection, hashes of the IDs that were refused there, and sends no request with such an ID on it; other requests still use it, until 256 were refused. Attempt.Reused tells the protocol whether an earlier request was sent on the connection; a refusal without an ID counts only if not. A connection that only a probe opened counts as new (Call.Reused said otherwise). Any other refusal is Invalid: the request may have run, nothing else is recorded from it, the connection is closed. Such responses are logged and counted.

testProtocol mirrors the rule, and the scripted upstreams of its tests now echo the ID, as upstreams do.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -177,7 +177,7 @@
 		return errors.Join(pooler.ErrNotSent, err)
 	}
 	s.run = f.observe(r, reservation)
-	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
+	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
 	}
@@ -202,6 +202,7 @@
 
 // receive classifies the head of a response and forwards the response.
 func (f *Forwarder) receive(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
+	a.Reused = call.Reused
 	verdict := f.Protocol.Classify(a, call.Response)
 	if verdict != Misdirected && verdict != Invalid {
 		reservation.RecordServing(call.OpenedAt())
@@ -211,9 +212,11 @@
 	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
 	switch verdict {
 	case NotRun:
+		call.RecordRefused()
 		f.drain(call)
 		return errNotRun
 	case Misdirected:
+		call.RecordRefused()
 		f.drain(call)
 		r.attempts--
 		return errMisdirected
@@ -221,6 +224,7 @@
 		s.run = nil // the upstream goes on, but may have failed before it ran the request
 	case Invalid:
 		r.mayHaveRun = true
+		f.recordInvalid(r, reservation, a, call)
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
 	}
 	r.mayHaveRun = true
@@ -230,6 +234,13 @@
 	return f.forwardWhole(r, sink, reservation, s, call, verdict)
 }
 
+// recordInvalid logs and counts a response that is not a valid one to the request.
+func (f *Forwarder) recordInvalid(r *Request, reservation *scheduler.Reservation, a Attempt, call *pooler.Call) {
+	f.Metrics.responsesInvalid.Inc()
+	f.Log.Warn().Str("request", r.ID).Str("upstream", reservation.Name).Uint64("incarnation", reservation.Incarnation).
+		Int("status", call.Response.StatusCode).Bool("reused", a.Reused).Msg("response is not a valid one to the request")
+}
+
 // forwardWhole reads a response completely before the caller gets any of it, unless its body
 // has maxBufferedBytes or more, or there is no memory to keep it.
 func (f *Forwarder) forwardWhole(r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -42,8 +42,10 @@
 
 func (testProtocol) Classify(a Attempt, h *http.Response) Verdict {
 	switch id := h.Header.Get("Id"); {
-	case id != "" && id != a.Request.ID:
+	case id != a.Request.ID && (id != "" || a.Reused):
 		return Invalid
+	case h.StatusCode == http.StatusMisdirectedRequest:
+		return Misdirected
 	case h.Header.Get("Not-Run") != "":
 		return NotRun
 	case h.StatusCode >= 500:
@@ -197,6 +199,7 @@
 		next := script[min(step, len(script)-1)]
 		step++
 		s.mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
 		next(w, r)
 	}))
 	t.Cleanup(h.Close)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -8,7 +8,7 @@
 	resumes                           *prometheus.CounterVec
 	callersLeft, truncated            prometheus.Counter
 	limitsInvalid, pauses, leavers    prometheus.Counter
-	breakages                         prometheus.Counter
+	breakages, responsesInvalid       prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
 	slotWait                          prometheus.Histogram
 }
@@ -29,6 +29,9 @@
 		pauses:         prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_pauses_total", Help: "Responses in which upstreams asked for a pause."}),
 		leavers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_leavers_total", Help: "Upstreams that said in an answer that they are leaving."}),
 		breakages:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_breakages_total", Help: "Upstreams whose process was assumed to have ended, as connections to it broke."}),
+		responsesInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "trefoil_responses_invalid_total", Help: "Responses of upstreams that were not valid ones to the request.",
+		}),
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "trefoil_request_seconds", Help: "Time from arrival to the end of the answer, by pool.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
@@ -42,5 +45,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.requestTime, m.slotWait}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.requestTime, m.slotWait}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -135,6 +135,9 @@
 	LastEventID string
 	// Priority orders requests at a model engine; 0 is the most urgent.
 	Priority int
+	// Reused says that an earlier request was sent on the connection, so that the response may be to that
+	// one. It is set once the request was sent.
+	Reused bool
 }
 
 // Verdict classifies an upstream's response by its head.
@@ -159,7 +162,8 @@
 type Protocol interface {
 	// Encode returns the request to send to the upstream. Its error means that nothing was sent.
 	Encode(a Attempt) (*http.Request, error)
-	// Classify classifies a response by its head.
+	// Classify classifies a response by its head. The upstream may have sent the response to an earlier request
+	// once more; one with the ID of this request was not refused on the connection before.
 	Classify(a Attempt, h *http.Response) Verdict
 	// NamedLimit returns the number of requests per second that the upstream takes from all hosts
 	// together, as its response says; 0 if the response names no limit. An error says why the limit
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,6 +50,8 @@
 	// Maximum number of lines of a head. Fields of different names take much more memory than bytes on
 	// the wire.
 	maxHeadLines = 1000
+	// Maximum number of refused requests on a connection that is used again.
+	maxRefused = 256
 	// Memory that a head takes, as a multiple of its bytes.
 	headMemoryFactor = 4
 )
@@ -93,6 +97,8 @@
 	source      *boundedReader
 	reader      *bufio.Reader // reads from source
 	address     string
+	used        bool          // a request was sent on it
+	refused     []uint64      // hashes of the IDs of the requests that were refused on it
 	idleSince   time.Duration // time on Timer's clock at which it became idle
 	idleTimeout time.Duration // idle time after which it is closed
 }
@@ -133,6 +139,7 @@
 	// Reused says that an earlier request had used the connection.
 	Reused bool
 
+	id               string
 	pool             *Pool
 	conn             *conn
 	writeDone        chan error
@@ -144,6 +151,9 @@
 
 // SendOptions says how a request may be sent.
 type SendOptions struct {
+	// ID identifies the request. A request is not sent on a connection on which one with the same ID was
+	// refused: if the upstream sent that refusal once more, it would pass for the response to this one.
+	ID string
 	// RecentOnly: a connection is reused only if it has been idle for less than recentIdleTimeout.
 	RecentOnly bool
 	// Until is the time on the clock of Timer after which the request is not sent; 0: none.
@@ -157,7 +167,7 @@
 	if err := checkWritable(r); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c, reused, err := p.connect(ctx, address, o.RecentOnly)
+	c, reused, err := p.connect(ctx, address, o)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -165,7 +175,8 @@
 		_ = c.Conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
 	}
-	call := &Call{pool: p, conn: c, Reused: reused, writeDone: make(chan error, 1)}
+	c.used = true
+	call := &Call{id: o.ID, pool: p, conn: c, Reused: reused, writeDone: make(chan error, 1)}
 	call.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	if err := call.write(r); err != nil {
 		call.Close()
@@ -310,6 +321,14 @@
 // concurrently with the other methods.
 func (c *Call) Abort() { _ = c.conn.Conn.Close() }
 
+// RecordRefused records that the response refuses the request: no other one with its ID is sent on the
+// connection.
+func (c *Call) RecordRefused() { c.conn.refused = append(c.conn.refused, hashID(c.id)) }
+
+var hashSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(hashSeed, id) }
+
 // Close returns the connection to the pool if the response was read to its end, nothing else
 // arrived and ctx has not ended; else it closes the connection. Further calls do nothing.
 func (c *Call) Close() {
@@ -328,7 +347,7 @@
 
 // reusable reports whether the connection may carry another request.
 func (c *Call) reusable() bool {
-	if c.Response == nil || c.Response.Close || c.conn.reader.Buffered() > 0 {
+	if c.Response == nil || c.Response.Close || c.conn.reader.Buffered() > 0 || len(c.conn.refused) > maxRefused {
 		return false
 	}
 	if !c.requestWritten() {
@@ -367,16 +386,17 @@
 	return maxIdleTimeout
 }
 
-// connect returns an idle connection that may still be used, or a new one.
-func (p *Pool) connect(ctx context.Context, address string, recentOnly bool) (c *conn, reused bool, err error) {
+// connect returns an idle connection that may still be used, or a new one. Reused says that a request was
+// sent on it before.
+func (p *Pool) connect(ctx context.Context, address string, o SendOptions) (c *conn, reused bool, err error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, o.ID)
 		if c == nil {
 			break
 		}
 		idleTime := p.Timer.Now() - c.idleSince
-		if idleTime < c.idleTimeout && (!recentOnly || idleTime < recentIdleTimeout) && nothingReceived(c.Conn) {
-			return c, true, nil
+		if idleTime < c.idleTimeout && (!o.RecentOnly || idleTime < recentIdleTimeout) && nothingReceived(c.Conn) {
+			return c, c.used, nil
 		}
 		_ = c.Conn.Close()
 	}
@@ -418,16 +438,20 @@
 	return nil
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection on which no request with this ID was
+// refused; nil if there is none.
+func (p *Pool) popIdle(address, id string) *conn {
+	hash := hashID(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.refused, hash) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) pushIdle(c *conn) {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -100,6 +102,63 @@
 	}
 }
 
+// TestRefusedOnConnection guards against a refusal that is sent once more and taken for the response to a later
+// request with the same ID: that request must not use the connection. Others must, until many were refused.
+func TestRefusedOnConnection(t *testing.T) {
+	script := slices.Repeat([]string{completeResponse}, maxRefused+10)
+	p, address := newPool(t), newUpstream(t, script, script, script, script)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	send := func(id string, refused bool) (reused bool) {
+		t.Helper()
+		call, err := p.Send(ctx, address, newRequest(""), SendOptions{ID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer call.Close()
+		if refused {
+			call.RecordRefused()
+		}
+		if _, err := io.ReadAll(call); err != nil {
+			t.Fatal(err)
+		}
+		return call.Reused
+	}
+	for _, c := range []struct {
+		id            string
+		refused, want bool
+	}{
+		{"a", true, false}, {"b", false, true}, {"a", false, false}, {"b", true, true}, {"a", true, true}, {"c", true, true}, {"d", true, true},
+	} {
+		if got := send(c.id, c.refused); got != c.want {
+			t.Errorf("request %s: reused %v, want %v", c.id, got, c.want)
+		}
+	}
+	p.CloseIdle(address)
+	for i := range maxRefused + 1 {
+		if got := send(fmt.Sprint("e", i), true); got != (i > 0) {
+			t.Fatalf("request %d: reused %v", i, got)
+		}
+	}
+	if send("f", false) {
+		t.Errorf("a connection on which %d requests were refused was reused", maxRefused+1)
+	}
+}
+
+// TestProbeCarriesNoRequest guards against taking a connection that only a probe opened for one on which a
+// request was sent.
+func TestProbeCarriesNoRequest(t *testing.T) {
+	p, address := newPool(t), newUpstream(t, []string{completeResponse, completeResponse})
+	if err := p.Probe(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		if _, reused, err := exchange(t, p, address, ""); err != nil || reused != (i == 1) {
+			t.Errorf("request %d: reused %v, error %v", i, reused, err)
+		}
+	}
+}
+
 // TestWriteDoneAfterResponse guards against connections closed without need: the response may
 // be read before the goroutine that writes the request reports its end.
 func TestWriteDoneAfterResponse(t *testing.T) {
