--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -178,7 +178,7 @@
 	}
 	s.run = f.observe(r, reservation)
 	s.unframed, s.firstEventID = false, ""
-	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
+	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
 	}
@@ -204,6 +204,7 @@
 
 // receive classifies the head of a response and forwards the response.
 func (f *Forwarder) receive(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, a Attempt, call *pooler.Call) error {
+	a.Reused = call.Reused
 	verdict := f.Protocol.Classify(a, call.Response)
 	if verdict != Misdirected && verdict != Invalid {
 		reservation.RecordServing(call.OpenedAt())
@@ -213,9 +214,11 @@
 	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
 	switch verdict {
 	case NotRun:
+		call.RecordRefused()
 		f.drain(call)
 		return errNotRun
 	case Misdirected:
+		call.RecordRefused()
 		f.drain(call)
 		r.attempts--
 		return errMisdirected
@@ -223,6 +226,7 @@
 		s.run = nil // the upstream goes on, but may have failed before it ran the request
 	case Invalid:
 		r.mayHaveRun = true
+		f.recordInvalid(r, reservation, a, call)
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
 	}
 	r.mayHaveRun = true
@@ -237,6 +241,13 @@
 	return f.forwardWhole(ctx, r, sink, reservation, s, call, verdict)
 }
 
+// recordInvalid logs and counts a response that is not a valid one to the request.
+func (f *Forwarder) recordInvalid(r *Request, reservation *scheduler.Reservation, a Attempt, call *pooler.Call) {
+	f.Metrics.responsesInvalid.Inc()
+	f.Log.Warn().Str("request", r.ID).Str("upstream", reservation.Name).Uint64("incarnation", reservation.Incarnation).
+		Int("status", call.Response.StatusCode).Bool("reused", a.Reused).Msg("response is not a valid one to the request")
+}
+
 // forwardWhole reads a response completely before the caller gets any of it, unless its body
 // has maxBufferedBytes or more, or there is no memory to keep it.
 func (f *Forwarder) forwardWhole(ctx context.Context, r *Request, sink Sink, reservation *scheduler.Reservation, s *responseState, call *pooler.Call, verdict Verdict) error {
@@ -256,7 +267,7 @@
 	}
 	reservation.RecordFirstToken()
 	if verdict == UpstreamError {
-		if s.headSent || (r.repeatable() && r.attempts < int(r.route.Attempts) && !large) {
+		if r.repeatable() && r.attempts < int(r.route.Attempts) && !large {
 			s.keepFallback(&failedResponse{status: call.Response.StatusCode, header: f.Protocol.ResponseHeader(call.Response.Header), body: b, hold: hold})
 			hold = bufferer.Hold{}
 			return errUpstreamFailed
--- a/internal/pooler/witness.go
+++ b/internal/pooler/witness.go
@@ -18,7 +18,7 @@
 
 // Witness returns an idle connection to an address, or opens one.
 func (p *Pool) Witness(ctx context.Context, address string) (*Witness, error) {
-	c, _, err := p.connect(ctx, address, false)
+	c, _, err := p.connect(ctx, address, SendOptions{})
 	if err != nil {
 		return nil, err
 	}
