Older interface: a stream whose response ends without the end marker passed for complete

Callers got a stream that stopped after any event and then "[DONE]", as if it were the whole answer.

Cause: (*EventReader).Next returns io.EOF for the end marker and wrapped the error of a failed read, so that at a response that ends in order without the marker, errors.Is(err, io.EOF) held too. That is the case of a response without a length or chunks whose upstream is killed and whose socket sends FIN, of one whose last chunk is written, and of an error with status 200 as a plain body; also for an upstream that is to go on with a stream that broke off.

Ruled out: a cut of a response with a length or chunks, which net/http reports as io.ErrUnexpectedEOF (the tests so far broke off only those), and the end of a relayed stream, for which copyForwardReplies needs the end reply.

Now the end of the response is io.ErrUnexpectedEOF; only the marker gives io.EOF, so the attempt fails and another upstream goes on.

Before: TestEndWithoutMarker fails in all 5 cases (text "Pew é " and [DONE] instead of four tokens), TestStreamCutAnywhere at the first byte, with LF and with CRLF. After: both pass; the latter cuts an answer at each byte, also within a character and within the marker.

--- a/internal/requester/events.go
+++ b/internal/requester/events.go
@@ -80,6 +80,9 @@
 }
 
 func (e *EventReader) wrapReadError(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // io.EOF means that the end marker was read
+	}
 	if e.Answer.Stalled() {
 		return fmt.Errorf("%w: %w", ErrStalled, err)
 	}
--- /dev/null
+++ b/internal/server/continuation_test.go
@@ -0,0 +1,247 @@
+package server
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/trefoilloft/trefoilloft/internal/proposer"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
+)
+
+// rawRequest is a request as a rawUpstream received it.
+type rawRequest struct {
+	connection int // counted from 0, of all addresses
+	n          int // on its connection, counted from 0
+	id         string
+	path       string
+	resumed    int // tokens after which the stream is to go on
+}
+
+// serveRaw listens on count addresses and writes what reply returns, with ID replaced by the request's
+// id. It closes the connection, with a FIN, if reply says so.
+func serveRaw(t *testing.T, count int, reply func(r rawRequest) (response string, closes bool)) []string {
+	t.Helper()
+	var connections atomic.Int32
+	addresses := make([]string, count)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		addresses[i] = l.Addr().String()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go serveRawConnection(conn, int(connections.Add(1)-1), reply)
+			}
+		}()
+	}
+	return addresses
+}
+
+func serveRawConnection(conn net.Conn, number int, reply func(r rawRequest) (string, bool)) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		var body struct {
+			Resume struct {
+				Tokens int `json:"tokens"`
+			} `json:"resume"`
+		}
+		_ = json.Unmarshal(b, &body)
+		id := r.Header.Get("X-Request-Id")
+		response, closes := reply(rawRequest{number, n, id, r.URL.Path, body.Resume.Tokens})
+		if _, err := io.WriteString(conn, strings.ReplaceAll(response, "ID", id)); err != nil || closes {
+			return
+		}
+	}
+}
+
+// newRawServer returns a Server whose upstreams, engines of model m and services of route r, are at
+// the addresses.
+func newRawServer(t *testing.T, addresses []string) *Server {
+	t.Helper()
+	s := &Server{Settings: &schema.Settings{Name: "h", Region: "r"}, Timer: &timer.Service{}}
+	go func() { _ = s.Timer.Run(t.Context()) }()
+	if err := s.Open(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for i, address := range addresses {
+		a := &schema.Announcement{Name: fmt.Sprint("u", i), Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Models: []string{"m"}, Region: "r", Address: address, Slots: 8, Lease: 10}
+		s.registrar.Register(a)
+		s.registrar.Register(&schema.Announcement{Name: "service-" + a.Name, Kind: schema.UpstreamKind_UPSTREAM_SERVICE, Routes: []string{"r"}, Region: "r", Address: address, Slots: 8, Lease: 10})
+	}
+	return s
+}
+
+// ask runs a chat completion on the Server's engines and returns what the caller gets.
+func (s *Server) ask(t *testing.T, stream bool) *httptest.ResponseRecorder {
+	t.Helper()
+	c, err := parseCompletion("/v1/chat/completions", fmt.Appendf(nil, `{"model":"m","stream":%v,"messages":[{"role":"user","content":"?"}]}`, stream))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	out := &httpAnswerWriter{w: w}
+	if err := s.runAttempts(t.Context(), c, out); err != nil {
+		out.writeError(s, err)
+	}
+	return w
+}
+
+// streamTokens are the tokens of the whole stream.
+var streamTokens = []string{"Pew ", "é ", "is ", "free."}
+
+func tokenEvent(token string) string {
+	return fmt.Sprintf(`data: {"id":"chatcmpl-ID","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`+"\n\n", token)
+}
+
+const (
+	streamHead  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	lastEvents  = `data: {"id":"chatcmpl-ID","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n" + usageEvent + doneEvent
+	usageEvent  = `data: {"id":"chatcmpl-ID","choices":[],"usage":{"total_tokens":5}}` + "\n\n"
+	doneEvent   = "data: [DONE]\n\n"
+	chunkedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// tokenEvents returns the events of the tokens from one to another.
+func tokenEvents(from, to int) string {
+	var b strings.Builder
+	for _, token := range streamTokens[from:to] {
+		b.WriteString(tokenEvent(token))
+	}
+	return b.String()
+}
+
+// soundAnswer returns a whole answer, or what follows the tokens of which a request knows.
+func soundAnswer(r rawRequest) string {
+	if r.resumed > len(streamTokens) {
+		return streamHead + usageEvent + doneEvent
+	}
+	return streamHead + tokenEvents(r.resumed, len(streamTokens)) + lastEvents
+}
+
+// cutAnswer returns an answer that breaks off after two tokens.
+func cutAnswer() string {
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 100000\r\n\r\n" + tokenEvents(0, 2)
+}
+
+func response(status, contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)
+}
+
+// streamText returns the text of a stream and how it ends: "done", "error" or "cut".
+func streamText(body string) (text, end string) {
+	end = "cut"
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			end = "done"
+			continue
+		}
+		var e struct {
+			Error   *struct{}
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		switch err := json.Unmarshal([]byte(data), &e); {
+		case err != nil:
+			text += data
+		case e.Error != nil:
+			end = "error"
+		}
+		for _, choice := range e.Choices {
+			text += choice.Delta.Content
+		}
+	}
+	return text, end
+}
+
+// checkContinuation runs a stream that breaks off after two tokens, goes on at an upstream with a faulty
+// answer, then at a sound one.
+func checkContinuation(t *testing.T, faulty string) {
+	t.Helper()
+	var attempts atomic.Int32
+	s := newRawServer(t, serveRaw(t, 3, func(r rawRequest) (string, bool) {
+		switch attempts.Add(1) {
+		case 1:
+			return cutAnswer(), true
+		case 2:
+			return faulty, true
+		}
+		return soundAnswer(r), true
+	}))
+	w := s.ask(t, true)
+	text, end := streamText(w.Body.String())
+	if diff := cmp.Diff(strings.Join(streamTokens, ""), text); diff != "" || end != "done" || strings.Contains(w.Body.String(), "secret") {
+		t.Errorf("end %s, text (-want +got):\n%s\nstream:\n%s", end, diff, w.Body)
+	}
+}
+
+// TestEndWithoutMarker guards against a stream that passes for complete because the upstream's response
+// ends in order but without the end marker.
+func TestEndWithoutMarker(t *testing.T) {
+	for name, faulty := range map[string]string{
+		"end of the connection": streamHead,
+		"last chunk":            chunkedHead + "0\r\n\r\n",
+		"length":                response("200 OK", "text/event-stream", ""),
+		"error as a body":       response("200 OK", "application/json", `{"error":{"message":"secret"}}`),
+		"another head":          streamHead + "HTTP/1.1 500 Internal Server Error\r\n\r\nsecret\n\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkContinuation(t, faulty) })
+	}
+}
+
+// TestStreamCutAnywhere guards against a gap, a repeat or an early end when the connection of a stream
+// ends at any byte of it.
+func TestStreamCutAnywhere(t *testing.T) {
+	for name, ending := range map[string]string{"LF": "\n", "CRLF": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			whole := strings.ReplaceAll(tokenEvents(0, len(streamTokens))+lastEvents, "\n", ending)
+			size := len(strings.ReplaceAll(whole, "ID", proposer.NewRequestID()))
+			var cut atomic.Int32
+			var began sync.Map
+			s := newRawServer(t, serveRaw(t, 2, func(r rawRequest) (string, bool) {
+				if _, again := began.LoadOrStore(r.id, true); again {
+					return soundAnswer(r), true
+				}
+				return streamHead + strings.ReplaceAll(whole, "ID", r.id)[:cut.Load()], true
+			}))
+			for n := range size {
+				cut.Store(int32(n))
+				s.retries = retryBudget{}
+				if text, end := streamText(s.ask(t, true).Body.String()); end != "done" || text != strings.Join(streamTokens, "") {
+					t.Fatalf("cut at byte %d of %d: end %s, text %q", n, size, end, text)
+				}
+			}
+		})
+	}
+}
