Older interface: an upstream's error that names the request became a part of the answer

Callers found an upstream's error text, at times its HTTP head, as an event in the middle of their stream, with "[DONE]" after it; without streaming, an error with status 200 as their completion.

Cause: copyStream and copyBody only looked for the request's id anywhere in the bytes. An error object that quotes the id, an event that is no JSON, an event cut by a head that the upstream wrote after it, and another request's answer whose text holds the id passed.

Now each event and each body is decoded: the id must be in the field id, there must be choices (or, in a stream, usage), and no error. Else the attempt fails and another upstream goes on. Chunks written without spaces, with neither usage nor an error, are recognized without decoding. Usage written with spaces is now counted too.

Before: TestEventsThatAreNoChunks fails in all 7 cases, TestBodyThatIsNoCompletion in 4 of 5 (a body that is cut was found). After: both pass.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -264,16 +264,54 @@
 	return text.String(), nil
 }
 
-var (
-	usagePrefix  = []byte(`"usage":{`)
-	emptyChoices = []byte(`"choices":[]`)
-)
+// errNoCompletion means that an upstream's answer with status 200 is no completion, such as an error.
+var errNoCompletion = errors.New("server: the upstream's answer is no completion")
+
+// chunk is what a host needs of an event of a stream or of a whole answer.
+type chunk struct {
+	ID      string          `json:"id"`
+	Error   json.RawMessage `json:"error"`
+	Choices []struct{}      `json:"choices"`
+	Usage   *struct {
+		Total int64 `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+// parseChunk decodes a chunk of the answer to a request. It returns an error if b is anything else.
+func parseChunk(b []byte, requestID string) (chunk, error) {
+	var c chunk
+	if isTokenChunk(b, requestID) {
+		c.ID, c.Choices = requestID, make([]struct{}, 1)
+		return c, nil
+	}
+	if err := json.Unmarshal(b, &c); err != nil {
+		return c, fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
+	}
+	switch {
+	case !strings.Contains(c.ID, requestID):
+		return c, requester.ErrWrongRequest
+	case len(c.Error) > 0 && string(c.Error) != "null", c.Choices == nil && c.Usage == nil:
+		return c, errNoCompletion
+	}
+	return c, nil
+}
+
+// isTokenChunk reports whether b is a chunk of the request with neither an error nor usage, as nearly all
+// are. It saves most of the time to decode them, but misses some, such as those with spaces.
+func isTokenChunk(b []byte, requestID string) bool {
+	id, ok := bytes.CutPrefix(b, []byte(`{"id":"`))
+	if !ok {
+		return false
+	}
+	id, _, _ = bytes.Cut(id, []byte(`"`))
+	return bytes.Contains(id, []byte(requestID)) && bytes.Contains(b, []byte(`"choices":[{`)) &&
+		!bytes.Contains(b, []byte(`"error"`)) && !bytes.Contains(b, []byte(`"usage"`)) && json.Valid(b)
+}
 
 // copyStream sends events to the caller as they arrive. The caller's stream gets its end marker
 // only after the upstream's.
 func (s *Server) copyStream(c *completion, a *requester.Answer, out answerWriter) error {
 	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout}
-	id := []byte(c.requestID)
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -282,12 +320,13 @@
 		if err != nil {
 			return err
 		}
-		if !bytes.Contains(e, id) {
-			return requester.ErrWrongRequest
+		chunk, err := parseChunk(e, c.requestID)
+		if err != nil {
+			return err
 		}
-		if bytes.Contains(e, usagePrefix) {
-			c.recordUsage(e)
-			if !c.wantsUsage && bytes.Contains(e, emptyChoices) {
+		if chunk.Usage != nil {
+			c.usedTokens = chunk.Usage.Total
+			if !c.wantsUsage && len(chunk.Choices) == 0 {
 				continue
 			}
 		}
@@ -329,13 +368,16 @@
 		}
 		return fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
 	}
-	if !json.Valid(b) {
-		return requester.ErrIncomplete
+	chunk, err := parseChunk(b, c.requestID)
+	if err != nil {
+		return err
 	}
-	if !bytes.Contains(b, []byte(c.requestID)) {
-		return requester.ErrWrongRequest
+	if len(chunk.Choices) == 0 {
+		return errNoCompletion
+	}
+	if chunk.Usage != nil {
+		c.usedTokens = chunk.Usage.Total
 	}
-	c.recordUsage(b)
 	c.firstTokenAt = s.Timer.Now()
 	if err := out.writeBody(b); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
@@ -352,15 +394,3 @@
 	p.answer.Watchdog.Restart(firstTokenTimeout)
 	return n, err
 }
-
-// recordUsage stores the total number of tokens that an upstream reports, if it does.
-func (c *completion) recordUsage(e []byte) {
-	var chunk struct {
-		Usage *struct {
-			Total int64 `json:"total_tokens"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(e, &chunk); err == nil && chunk.Usage != nil {
-		c.usedTokens = chunk.Usage.Total
-	}
-}
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -245,3 +245,47 @@
 		})
 	}
 }
+
+// TestEventsThatAreNoChunks guards against an upstream's error, or part of an event, that callers get as a
+// part of their stream since it names their request.
+func TestEventsThatAreNoChunks(t *testing.T) {
+	for name, faulty := range map[string]string{
+		"error":             streamHead + `data: {"id":"chatcmpl-ID","error":{"message":"secret"}}` + "\n\n" + doneEvent,
+		"error of its own":  streamHead + `data: {"error":{"message":"secret, request ID"}}` + "\n\n" + doneEvent,
+		"error and choices": streamHead + `data: {"id":"chatcmpl-ID","error":"secret","choices":[]}` + "\n\n" + doneEvent,
+		"other object":      streamHead + `data: {"id":"chatcmpl-ID","message":"secret"}` + "\n\n" + doneEvent,
+		"text":              streamHead + "data: secret, request ID\n\n" + doneEvent,
+		"id in the text":    streamHead + `data: {"id":"chatcmpl-other","choices":[{"index":0,"delta":{"content":"secret ID"}}]}` + "\n\n" + doneEvent,
+		"head in an event":  streamHead + `data: {"id":"chatcmpl-ID","choices":[{"index":0,"delta":{"content":"secret` + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkContinuation(t, faulty) })
+	}
+}
+
+// TestBodyThatIsNoCompletion guards against an upstream's error with status 200 that callers get as their
+// answer since it names their request.
+func TestBodyThatIsNoCompletion(t *testing.T) {
+	const whole = `{"id":"chatcmpl-ID","choices":[{"index":0,"message":{"content":"free."},"finish_reason":"stop"}]}`
+	for name, faulty := range map[string]string{
+		"error":          `{"id":"chatcmpl-ID","error":{"message":"secret"}}`,
+		"other object":   `{"id":"chatcmpl-ID"}`,
+		"string":         `"secret ID"`,
+		"id in the text": `{"id":"chatcmpl-other","choices":[{"index":0,"message":{"content":"secret ID"}}]}`,
+		"cut":            whole[:len(whole)-1],
+	} {
+		t.Run(name, func(t *testing.T) {
+			var attempts atomic.Int32
+			s := newRawServer(t, serveRaw(t, 2, func(rawRequest) (string, bool) {
+				body := whole
+				if attempts.Add(1) == 1 {
+					body = faulty
+				}
+				return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body, true
+			}))
+			w := s.ask(t, false)
+			if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), "free.") {
+				t.Errorf("status %d, body %s", w.Code, w.Body)
+			}
+		})
+	}
+}
