Older interface: an end marker that comes too early ended a stream as if it were complete

An upstream that was to go on with a stream and sent "[DONE]" at once, or after some tokens, ended the caller's stream, and nothing showed that text is missing. A lone marker does not even name the request: it may be what is left of another response.

Cause: the marker alone counted as the end of the answer.

Engines that send neither are not served any more; those that follow the interface send both.

Before: TestEndMarkerWithoutEnd ends with [DONE] after two and three of four tokens. After: it passes. BenchmarkCapacityRelay sent requests without stream_options, unlike the Server, and so got neither; it asks for usage now.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -271,18 +271,31 @@
 type chunk struct {
 	ID      string          `json:"id"`
 	Error   json.RawMessage `json:"error"`
-	Choices []struct{}      `json:"choices"`
+	Choices []choice        `json:"choices"`
 	Usage   *struct {
 		Total int64 `json:"total_tokens"`
 	} `json:"usage"`
 }
 
+type choice struct {
+	FinishReason *string `json:"finish_reason"`
+}
+
+// isLast reports whether the answer's text has ended.
+func (c *chunk) isLast() bool {
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			return true
+		}
+	}
+	return len(c.Choices) == 0 && c.Usage != nil
+}
+
 // parseChunk decodes a chunk of the answer to a request. It returns an error if b is anything else.
 func parseChunk(b []byte, requestID string) (chunk, error) {
 	var c chunk
 	if isTokenChunk(b, requestID) {
-		c.ID, c.Choices = requestID, make([]struct{}, 1)
-		return c, nil
+		return chunk{Choices: make([]choice, 1)}, nil
 	}
 	if err := json.Unmarshal(b, &c); err != nil {
 		return c, fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
@@ -296,8 +309,8 @@
 	return c, nil
 }
 
-// isTokenChunk reports whether b is a chunk of the request with neither an error nor usage, as nearly all
-// are. It saves most of the time to decode them, but misses some, such as those with spaces.
+// isTokenChunk reports whether b is a chunk of the request, not the last, with neither an error nor usage, as
+// nearly all are. It saves most of the time to decode them, but misses some, such as those with spaces.
 func isTokenChunk(b []byte, requestID string) bool {
 	id, ok := bytes.CutPrefix(b, []byte(`{"id":"`))
 	if !ok {
@@ -305,15 +318,20 @@
 	}
 	id, _, _ = bytes.Cut(id, []byte(`"`))
 	return bytes.Contains(id, []byte(requestID)) && bytes.Contains(b, []byte(`"choices":[{`)) &&
-		!bytes.Contains(b, []byte(`"error"`)) && !bytes.Contains(b, []byte(`"usage"`)) && json.Valid(b)
+		!bytes.Contains(b, []byte(`"finish_reason":"`)) && !bytes.Contains(b, []byte(`"error"`)) &&
+		!bytes.Contains(b, []byte(`"usage"`)) && json.Valid(b)
 }
 
 // copyStream sends events to the caller as they arrive. The caller's stream gets its end marker
-// only after the upstream's.
+// only after the upstream's, and only if the upstream said before that the text has ended.
 func (s *Server) copyStream(c *completion, a *requester.Answer, out answerWriter) error {
 	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout}
+	ended := false
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !ended {
+			return fmt.Errorf("%w: end marker without usage or finish_reason", requester.ErrIncomplete)
+		}
 		if errors.Is(err, io.EOF) {
 			return out.endStream()
 		}
@@ -324,6 +342,7 @@
 		if err != nil {
 			return err
 		}
+		ended = ended || chunk.isLast()
 		if chunk.Usage != nil {
 			c.usedTokens = chunk.Usage.Total
 			if !c.wantsUsage && len(chunk.Choices) == 0 {
--- a/internal/server/capacity_test.go
+++ b/internal/server/capacity_test.go
@@ -35,7 +35,7 @@
 	s := &Server{Timer: &timer.Service{}, metrics: newMetrics()}
 	s.requester = &requester.Requester{Timer: s.Timer}
 	s.requester.Start(b.Context())
-	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"tokens:%d"}]}`, tokens, tokens)
+	body := fmt.Sprintf(`{"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":%d,"messages":[{"role":"user","content":"tokens:%d"}]}`, tokens, tokens)
 	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, err := parseCompletion("/v1/chat/completions", []byte(body))
 		if err != nil {
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -289,3 +289,14 @@
 		})
 	}
 }
+
+// TestEndMarkerWithoutEnd guards against a stream that ends as if it were complete because an upstream that
+// is to go on with it sends the end marker before its answer has ended.
+func TestEndMarkerWithoutEnd(t *testing.T) {
+	for name, faulty := range map[string]string{
+		"marker alone": streamHead + doneEvent,
+		"marker early": streamHead + tokenEvents(2, 3) + doneEvent,
+	} {
+		t.Run(name, func(t *testing.T) { checkContinuation(t, faulty) })
+	}
+}
