Older interface: an upstream that refused to go on with a stream ended it with its error's text

A stream broke off, and the upstream chosen to go on answered with status 400, 404, 409, 421 or 422. Callers got an error event that held the upstream's whole body, and the stream ended there although other upstreams were sound.

Cause: upstreamError takes such a status for a verdict on the request, at any attempt. Once tokens of the answer were delivered, an upstream has accepted the request; only the upstream that refuses to go on differs.

Now such a refusal is a failure of that upstream, and another goes on.

Before: TestRefusedContinuation fails for these five statuses; 429 and 503 passed. After: all pass.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -194,7 +194,7 @@
 	}
 	defer answer.Close()
 	if answer.StatusCode != http.StatusOK {
-		return upstreamError(answer)
+		return upstreamError(c, answer)
 	}
 	if c.stream {
 		return s.copyStream(c, answer, out)
@@ -203,10 +203,10 @@
 }
 
 // upstreamError returns a *Refusal if the upstream rejected the request itself, else an error that
-// counts as a failure of the upstream.
-func upstreamError(a *requester.Answer) error {
+// counts as a failure of the upstream. A request of which tokens were delivered is accepted already.
+func upstreamError(c *completion, a *requester.Answer) error {
 	b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
-	if a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
+	if c.delivered.tokens == 0 && a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
 		r := newRefusal(a.StatusCode, "upstream_refused", strings.TrimSpace(string(b)))
 		r.Run = RunUnknown
 		return r
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -300,3 +300,13 @@
 		t.Run(name, func(t *testing.T) { checkContinuation(t, faulty) })
 	}
 }
+
+// TestRefusedContinuation guards against a stream that ends with an upstream's error, and shows its text,
+// because the upstream that is to go on with it refuses the request.
+func TestRefusedContinuation(t *testing.T) {
+	for _, status := range []string{"400 Bad Request", "404 Not Found", "409 Conflict", "421 Misdirected Request", "422 Unprocessable Content", "429 Too Many Requests", "503 Service Unavailable"} {
+		t.Run(status, func(t *testing.T) {
+			checkContinuation(t, response(status, "application/json", `{"error":{"message":"secret"}}`))
+		})
+	}
+}
