Older interface: a response on a connection out of step was taken for the request's

An upstream wrote a refusal once more on a kept connection. The caller whose request was sent next got it as its own, with the other request's error text, while the upstream ran the request: "upstream_refused" with status 400 for a request that is sound. Where the response was an answer instead, its id gave it away, but the connection was kept, so the requests that followed on it failed too, and the upstream was avoided.

Cause: net/http pairs responses with requests by their order on a connection. A refusal was believed without any proof of which request it answers, and a body that is read to its end puts its connection back, in step or not.

Ruled out: callers told "not run". A refusal by an upstream is run "unknown" (upstreamError), so is one of another region unless its host says otherwise (refusalFromReply), and statuses 408, 429 and 5xx count as failures of the upstream, whose error is run "unknown" (refusalOf). A completion may run at a second upstream by design.

Now a refusal counts if it names the request (X-Request-Id, or the id in its body) or came on a connection that has served no other request. Any other, and any answer with another id on a kept connection, closes the upstream's idle connections, and the request is sent to it again, once, on a new one.

Before: TestRefusalWrittenOnceMore gets status 400 for both later requests, with and without streaming; TestConnectionOutOfStep status 502 for the four after the first. After: both pass; TestRefusalWithID, three requests for three refusals that name theirs, passes before and after.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -137,7 +137,10 @@
 type Answer struct {
 	*http.Response
 	Watchdog *Watchdog
-	cancel   context.CancelFunc
+	// Reused is set if the connection had served another request: the response may be another copy of
+	// that one's.
+	Reused bool
+	cancel context.CancelFunc
 }
 
 // Close ends the request; the connection is kept for reuse if the body was read to its end.
@@ -172,7 +175,7 @@
 	}
 	response, err := t.RoundTrip(r)
 	if err == nil {
-		return &Answer{Response: response, Watchdog: watchdog, cancel: cancel}, nil
+		return &Answer{Response: response, Watchdog: watchdog, Reused: reused.Load(), cancel: cancel}, nil
 	}
 	watchdog.stop()
 	cancel()
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -32,6 +32,10 @@
 // errTruncated means that the answer ended early at a point from which it cannot be resumed.
 var errTruncated = errors.New("server: the answer is truncated and cannot be resumed")
 
+// errOutOfStep means that the response on a kept connection is not shown to be the request's: the upstream may
+// have written another one once more. It says little of the upstream on other connections.
+var errOutOfStep = fmt.Errorf("%w, on a kept connection", requester.ErrWrongRequest)
+
 // deliveredStream is the part of a stream that has been sent to the caller.
 type deliveredStream struct {
 	events [][]byte // kept to resume; none if another region runs the request
@@ -169,8 +173,19 @@
 	return errors.As(err, &r)
 }
 
-// runOnUpstream runs the request on one upstream, on a new connection if newConnection is set.
+// runOnUpstream runs the request on one upstream, on a new connection if newConnection is set or a kept one is
+// out of step.
 func (s *Server) runOnUpstream(ctx context.Context, c *completion, upstream *router.Reservation, newConnection bool, out answerWriter) error {
+	err := s.sendToUpstream(ctx, c, upstream, newConnection, out)
+	if !errors.Is(err, errOutOfStep) {
+		return err
+	}
+	s.Log.Warn().Err(err).Str("request", c.requestID).Str("upstream", upstream.Name).Int("tokens", c.delivered.tokens).Msg("sent again on a new connection")
+	s.requester.CloseIdle(upstream.Address)
+	return s.sendToUpstream(ctx, c, upstream, true, out)
+}
+
+func (s *Server) sendToUpstream(ctx context.Context, c *completion, upstream *router.Reservation, newConnection bool, out answerWriter) error {
 	body, err := c.upstreamBody()
 	if err != nil {
 		return err
@@ -193,6 +208,13 @@
 		return err
 	}
 	defer answer.Close()
+	if err = s.copyAnswer(c, answer, out); answer.Reused && errors.Is(err, requester.ErrWrongRequest) {
+		return fmt.Errorf("%w: %w", errOutOfStep, err)
+	}
+	return err
+}
+
+func (s *Server) copyAnswer(c *completion, answer *requester.Answer, out answerWriter) error {
 	if answer.StatusCode != http.StatusOK {
 		return upstreamError(c, answer)
 	}
@@ -207,6 +229,9 @@
 func upstreamError(c *completion, a *requester.Answer) error {
 	b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
 	if c.delivered.tokens == 0 && a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
+		if a.Reused && a.Header.Get("X-Request-Id") != c.requestID && !bytes.Contains(b, []byte(c.requestID)) {
+			return fmt.Errorf("%w: status %d without its id", requester.ErrWrongRequest, a.StatusCode)
+		}
 		r := newRefusal(a.StatusCode, "upstream_refused", strings.TrimSpace(string(b)))
 		r.Run = RunUnknown
 		return r
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -310,3 +310,72 @@
 		})
 	}
 }
+
+// TestRefusalWrittenOnceMore guards against an upstream's refusal of an earlier request that a caller gets for
+// a request that is running, since the upstream writes it once more on a kept connection.
+func TestRefusalWrittenOnceMore(t *testing.T) {
+	refusal := response("400 Bad Request", "application/json", `{"error":{"message":"secret"}}`)
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprint("stream ", stream), func(t *testing.T) {
+			s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+				switch {
+				case r.connection == 0:
+					return refusal, false
+				case stream:
+					return soundAnswer(r), true
+				}
+				return "HTTP/1.1 200 OK\r\n\r\n" + `{"id":"chatcmpl-ID","choices":[{"index":0,"message":{"content":"Pew é is free."}}]}`, true
+			}))
+			if w := s.ask(t, stream); w.Code != http.StatusBadRequest {
+				t.Errorf("first request: status %d, body %s, want the refusal", w.Code, w.Body)
+			}
+			for range 2 {
+				if w := s.ask(t, stream); w.Code != http.StatusOK || !strings.Contains(w.Body.String(), "free.") {
+					t.Errorf("later request: status %d, body %s", w.Code, w.Body)
+				}
+			}
+		})
+	}
+}
+
+// TestRefusalWithID guards against a second attempt for a refusal on a kept connection that names its request.
+func TestRefusalWithID(t *testing.T) {
+	var requests atomic.Int32
+	s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+		requests.Add(1)
+		return strings.Replace(response("400 Bad Request", "application/json", "{}"), "\r\n", "\r\nX-Request-Id: ID\r\n", 1), false
+	}))
+	for range 3 {
+		if w := s.ask(t, true); w.Code != http.StatusBadRequest {
+			t.Errorf("status %d, body %s, want the refusal", w.Code, w.Body)
+		}
+	}
+	if got := requests.Load(); got != 3 {
+		t.Errorf("the upstream received %d requests, want 3", got)
+	}
+}
+
+// TestConnectionOutOfStep guards against requests that fail one after another on a kept connection on which
+// the upstream once wrote a response too many.
+func TestConnectionOutOfStep(t *testing.T) {
+	const body = `{"id":"chatcmpl-%s","choices":[{"index":0,"message":{"content":"free."}}]}`
+	var mu sync.Mutex
+	var last string // id of the last request on connection 0
+	s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		id := r.id
+		if r.connection == 0 && r.n > 0 {
+			id = last
+		}
+		if r.connection == 0 {
+			last = r.id
+		}
+		return response("200 OK", "application/json", fmt.Sprintf(body, id)), false
+	}))
+	for i := range 5 {
+		if w := s.ask(t, false); w.Code != http.StatusOK {
+			t.Errorf("request %d: status %d, body %s", i, w.Code, w.Body)
+		}
+	}
+}
