Older interface: a service's answer to one caller went to the next one on the connection

A service wrote its answer once more on a kept connection; the caller whose call was sent next on it got the other caller's answer, or a refusal for a call that the service was running.

Cause: calls that may be repeated used kept connections, and nothing in a service's answer names its call. Calls that must run once had a connection of their own (runGranted): for them this could not happen, and the test shows it. docs/PROOF.md said that services get a connection for each call.

Now they do: on a new connection the only answer is the call's. The cost is one more round trip in the region for calls that may be repeated; not measured.

Before: in TestServiceAnswerOfAnotherCall calls of /pew/1 and /pew/2 get the answer of /pew/0 where they may be repeated; those that may not pass. After: both pass.

--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -379,3 +379,39 @@
 		}
 	}
 }
+
+// callService makes one call to the Server's services.
+func (s *Server) callService(t *testing.T, path string, idempotent bool) (*serviceAnswer, error) {
+	t.Helper()
+	call := &serviceCall{route: &schema.Route{Name: "r", Method: http.MethodGet, Idempotent: idempotent}, method: http.MethodGet, path: path, header: http.Header{}}
+	if idempotent {
+		return s.runIdempotent(t.Context(), call)
+	}
+	return s.runGranted(t.Context(), call, &claim{group: &schema.Group{}, request: &schema.ClaimRequest{}})
+}
+
+// TestServiceAnswerOfAnotherCall guards against a service's answer to one caller that another one gets, since
+// the service writes it once more on a kept connection.
+func TestServiceAnswerOfAnotherCall(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprint("idempotent ", idempotent), func(t *testing.T) {
+			var mu sync.Mutex
+			first := map[int]string{} // path of the first request, by connection
+			s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				if r.n == 0 {
+					first[r.connection] = r.path
+				}
+				return response("503 Service Unavailable", "text/plain", first[r.connection]), false
+			}))
+			for i := range 3 {
+				path := fmt.Sprint("/pew/", i)
+				answer, err := s.callService(t, path, idempotent)
+				if err != nil || string(answer.body) != path {
+					t.Errorf("call of %s: error %v, answer %+v", path, err, answer)
+				}
+			}
+		})
+	}
+}
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -246,7 +246,7 @@
 			s.settleRecord(c, &schema.Record{State: schema.RecordState_RECORD_VOID})
 			return nil, err // this claim was granted, so no other has run either
 		}
-		answer, err := s.sendServiceCall(ctx, call, reservation, true)
+		answer, err := s.sendServiceCall(ctx, call, reservation)
 		reservation.Release(attemptOutcome(ctx, err, false))
 		if errors.Is(err, requester.ErrNotSent) {
 			s.metrics.attemptsFailed.Inc()
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -224,7 +224,7 @@
 		if err != nil {
 			break
 		}
-		answer, err := s.sendServiceCall(ctx, call, reservation, history.needsNewConnection(reservation.Name))
+		answer, err := s.sendServiceCall(ctx, call, reservation)
 		reconnect := history.record(reservation.Name, err, false)
 		s.finishAttempt(ctx, reservation, err, reconnect)
 		if err == nil || ctx.Err() != nil {
@@ -235,15 +235,15 @@
 	return nil, lastErr
 }
 
-// sendServiceCall sends a call to one upstream and reads the whole answer. If newConnection is set,
-// it uses a new connection, on which the call reaches the upstream at most once.
-func (s *Server) sendServiceCall(ctx context.Context, call *serviceCall, upstream *router.Reservation, newConnection bool) (*serviceAnswer, error) {
+// sendServiceCall sends a call to one upstream and reads the whole answer. It uses a new connection, on which
+// the call reaches the upstream at most once and any answer is the call's: services name no request.
+func (s *Server) sendServiceCall(ctx context.Context, call *serviceCall, upstream *router.Reservation) (*serviceAnswer, error) {
 	r, err := http.NewRequestWithContext(ctx, call.method, "http://"+upstream.Address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, errors.Join(requester.ErrNotSent, err)
 	}
 	r.Header = call.header.Clone()
-	answer, err := s.requester.Send(r, serviceHeaderTimeout, newConnection)
+	answer, err := s.requester.Send(r, serviceHeaderTimeout, true)
 	if err != nil {
 		return nil, err
 	}
