Older interface: a service's answer cut by the end of its connection passed for whole

A service was killed while it wrote an answer without a length or chunks. Callers got the half as a whole answer with its status; for a call that must run once, it was kept as the outcome for 24 hours.

Cause: such an answer ends with its connection, and the kernel ends that of a killed process with FIN where nothing unread is left. net/http cannot tell that from the end of the answer.

Services that answer in the manner of HTTP/1.0 have to state the length.

Ruled out for completions: a stream needs its end marker, and a body has to be a whole JSON object, of which no proper prefix is one ("cut" in TestBodyThatIsNoCompletion).

Before: TestServiceAnswerWithoutLength gets "half of the" for both calls. After: "whole" from the other service, and an error that says "unknown" after one request.

--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -415,3 +415,23 @@
 		})
 	}
 }
+
+// TestServiceAnswerWithoutLength guards against a service's answer that is cut by the end of its connection
+// and passes for whole, and against such an answer kept as a call's outcome.
+func TestServiceAnswerWithoutLength(t *testing.T) {
+	var requests atomic.Int32
+	s := newRawServer(t, serveRaw(t, 2, func(rawRequest) (string, bool) {
+		if requests.Add(1) == 1 {
+			return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf of the", true
+		}
+		return response("200 OK", "text/plain", "whole"), true
+	}))
+	if answer, err := s.callService(t, "/pew", true); err != nil || string(answer.body) != "whole" {
+		t.Errorf("a call that may be repeated: error %v, answer %+v", err, answer)
+	}
+	requests.Store(0)
+	answer, err := s.callService(t, "/pew", false)
+	if err == nil || refusalOf(err).Run != RunUnknown || requests.Load() != 1 {
+		t.Errorf("a call that may not: %d requests, error %v, answer %+v, want one and that it may have run", requests.Load(), err, answer)
+	}
+}
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -248,6 +249,9 @@
 		return nil, err
 	}
 	defer answer.Close()
+	if answer.Body != http.NoBody && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
+		return nil, fmt.Errorf("%w: it has neither a length nor chunks", requester.ErrIncomplete)
+	}
 	hold := bufferer.Hold{Budget: &s.buffers}
 	defer hold.Release()
 	b, err := hold.ReadAll(progressReader{answer}, maxServiceAnswerBytes)
