Older interface: streams that end with one shared refusal raced for it

When a withdrawn key ends several streams, each sets Run of errKeyWithdrawn, which they share. The value is the same, so callers see no difference; it is a data race, and the next shared refusal with another value would be changed for all later callers.

Now writeError of both writers changes a copy (withRunUnknown).

Before: go test -race reports a data race in TestErrorsOfManyStreams at answer.go:74. After: internal/server passes with -race.

--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -70,8 +70,6 @@
 		s.writeRefusal(o.w, err)
 		return
 	}
-	r := refusalOf(err)
-	r.Run = RunUnknown
 	s.metrics.truncated.Inc()
-	_ = o.writeEvent(r.body(), true)
+	_ = o.writeEvent(refusalOf(withRunUnknown(err)).body(), true)
 }
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -435,3 +435,23 @@
 		t.Errorf("a call that may not: %d requests, error %v, answer %+v, want one and that it may have run", requests.Load(), err, answer)
 	}
 }
+
+// TestErrorsOfManyStreams guards against a data race when several streams end with one shared refusal.
+func TestErrorsOfManyStreams(t *testing.T) {
+	s := newRawServer(t, nil)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			w := httptest.NewRecorder()
+			out := &httpAnswerWriter{w: w}
+			if err := out.writeEvent([]byte("{}"), true); err != nil {
+				t.Error(err)
+			}
+			out.writeError(s, errKeyWithdrawn)
+			if _, end := streamText(w.Body.String()); end != "error" {
+				t.Errorf("end %s, want an error", end)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -352,10 +352,10 @@
 }
 
 func (o *forwardAnswerWriter) writeError(err error) error {
-	r := refusalOf(err)
 	if o.eventSent {
-		r.Run = RunUnknown
+		err = withRunUnknown(err)
 	}
+	r := refusalOf(err)
 	run := "unknown"
 	if r.Run == NotRun {
 		run = "false"
