--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/proposer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -455,3 +459,79 @@
 	}
 	wg.Wait()
 }
+
+// recordedReplies is the stream of a forwarded request's replies: a host sends them into it, and another one
+// receives them until err.
+type recordedReplies struct {
+	grpc.ServerStream
+	grpc.ClientStream
+	replies []*schema.ForwardReply
+	err     error
+}
+
+func (r *recordedReplies) Send(reply *schema.ForwardReply) error {
+	r.replies = append(r.replies, proto.Clone(reply).(*schema.ForwardReply)) // it is encoded at once
+	return nil
+}
+
+func (r *recordedReplies) Recv() (*schema.ForwardReply, error) {
+	if len(r.replies) == 0 {
+		return nil, r.err
+	}
+	reply := r.replies[0]
+	r.replies = r.replies[1:]
+	return reply, nil
+}
+
+func (r *recordedReplies) Context() context.Context { return context.Background() }
+
+func (r *recordedReplies) RecvMsg(any) error { return r.err }
+
+func (r *recordedReplies) SendMsg(any) error { return r.err }
+
+// TestRelayedStreamCutAnywhere guards against an upstream's error in a stream that another region's host runs,
+// and against one that looks complete although its replies end early.
+func TestRelayedStreamCutAnywhere(t *testing.T) {
+	for name, second := range map[string]string{
+		"sound":   "",
+		"error":   streamHead + `data: {"id":"chatcmpl-ID","error":{"message":"secret"}}` + "\n\n" + doneEvent,
+		"marker":  streamHead + doneEvent,
+		"refused": response("409 Conflict", "text/plain", "secret"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var attempts atomic.Int32
+			s := newRawServer(t, serveRaw(t, 2, func(r rawRequest) (string, bool) {
+				switch n := attempts.Add(1); {
+				case n == 1:
+					return cutAnswer(), true
+				case second == "":
+					return soundAnswer(r), true
+				}
+				return second, true
+			}))
+			sent := &recordedReplies{}
+			c := &completion{requestID: proposer.NewRequestID(), path: "/v1/completions", model: "m", stream: true, maxTokens: 9, forwarded: true}
+			out := &forwardAnswerWriter{stream: &numberedReplies{ServerStreamingServer: sent}, c: c}
+			if err := s.runAttempts(t.Context(), c, out); err != nil {
+				if err := out.writeError(err); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for n := range len(sent.replies) + 1 {
+				for _, end := range []error{io.EOF, io.ErrUnexpectedEOF} {
+					received := &recordedReplies{replies: slices.Clone(sent.replies[:n]), err: end}
+					w := httptest.NewRecorder()
+					out := &httpAnswerWriter{w: w}
+					if err := s.copyForwardReplies(received, &completion{stream: true}, out); err != nil {
+						out.writeError(s, err)
+					}
+					text, got := streamText(w.Body.String())
+					whole := second == "" && n == len(sent.replies)
+					if (got == "done") != whole || !strings.HasPrefix(strings.Join(streamTokens, ""), text) && w.Code == http.StatusOK || strings.Contains(w.Body.String(), "secret") {
+						t.Errorf("%d of %d replies, then %v: status %d, end %s, stream:\n%s", n, len(sent.replies), end, w.Code, got, w.Body)
+					}
+				}
+			}
+		})
+	}
+}
