Older interface: a refusal that does not name its request closes only its connection

Since any refusal without the request's id on a kept connection closed all idle connections to its upstream, so that callers of invalid requests could have the connections of all others opened anew.

Now only the header X-Request-Id is the proof, so that the refusal's body need not be read and net/http closes that connection alone.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -36,6 +36,10 @@
 // have written another one once more. It says little of the upstream on other connections.
 var errOutOfStep = fmt.Errorf("%w, on a kept connection", requester.ErrWrongRequest)
 
+// errUnprovedRefusal means that a refusal on a kept connection does not name the request. The connection has been
+// closed.
+var errUnprovedRefusal = fmt.Errorf("%w: refusal without its id", errOutOfStep)
+
 // deliveredStream is the part of a stream that has been sent to the caller.
 type deliveredStream struct {
 	events [][]byte // kept to resume; none if another region runs the request
@@ -181,7 +185,9 @@
 		return err
 	}
 	s.Log.Warn().Err(err).Str("request", c.requestID).Str("upstream", upstream.Name).Int("tokens", c.delivered.tokens).Msg("sent again on a new connection")
-	s.requester.CloseIdle(upstream.Address)
+	if !errors.Is(err, errUnprovedRefusal) {
+		s.requester.CloseIdle(upstream.Address)
+	}
 	return s.sendToUpstream(ctx, c, upstream, true, out)
 }
 
@@ -208,7 +214,7 @@
 		return err
 	}
 	defer answer.Close()
-	if err = s.copyAnswer(c, answer, out); answer.Reused && errors.Is(err, requester.ErrWrongRequest) {
+	if err = s.copyAnswer(c, answer, out); answer.Reused && errors.Is(err, requester.ErrWrongRequest) && !errors.Is(err, errOutOfStep) {
 		return fmt.Errorf("%w: %w", errOutOfStep, err)
 	}
 	return err
@@ -227,11 +233,14 @@
 // upstreamError returns a *Refusal if the upstream rejected the request itself, else an error that
 // counts as a failure of the upstream. A request of which tokens were delivered is accepted already.
 func upstreamError(c *completion, a *requester.Answer) error {
-	b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
 	if c.delivered.tokens == 0 && a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
-		if a.Reused && a.Header.Get("X-Request-Id") != c.requestID && !bytes.Contains(b, []byte(c.requestID)) {
-			return fmt.Errorf("%w: status %d without its id", requester.ErrWrongRequest, a.StatusCode)
+		if a.Reused && a.Header.Get("X-Request-Id") != c.requestID {
+			if a.Body == http.NoBody {
+				return errOutOfStep
+			}
+			return errUnprovedRefusal // its body is left unread, so that the connection is closed
 		}
+		b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
 		r := newRefusal(a.StatusCode, "upstream_refused", strings.TrimSpace(string(b)))
 		r.Run = RunUnknown
 		return r
--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -535,3 +535,36 @@
 		})
 	}
 }
+
+// TestRefusalKeepsOtherConnections guards against idle connections that callers of invalid requests can have
+// closed: a refusal that does not name its request puts only its own in doubt.
+func TestRefusalKeepsOtherConnections(t *testing.T) {
+	var refuse atomic.Bool
+	var last atomic.Int32 // connection of the last request
+	bothRunning := make(chan struct{})
+	var running atomic.Int32
+	s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+		last.Store(int32(r.connection))
+		if refuse.Load() {
+			return response("400 Bad Request", "text/plain", "invalid"), false
+		}
+		if running.Add(1) == 2 {
+			close(bothRunning)
+		}
+		<-bothRunning
+		return response("200 OK", "application/json", fmt.Sprintf(`{"id":"chatcmpl-%s","choices":[{"index":0,"message":{"content":"free."}}]}`, r.id)), false
+	}))
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { s.ask(t, false) })
+	}
+	wg.Wait()
+	refuse.Store(true)
+	if w := s.ask(t, false); w.Code != http.StatusBadRequest {
+		t.Errorf("status %d, body %s, want the refusal", w.Code, w.Body)
+	}
+	refuse.Store(false)
+	if w := s.ask(t, false); w.Code != http.StatusOK || last.Load() > 1 {
+		t.Errorf("status %d on connection %d, want one of the first two", w.Code, last.Load())
+	}
+}
