--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -32,6 +32,14 @@
 // errTruncated means that the answer ended early at a point from which it cannot be resumed.
 var errTruncated = errors.New("server: the answer is truncated and cannot be resumed")
 
+// errOutOfStep means that the response on a kept connection is not shown to be the request's: the upstream may
+// have written another one once more. It says little of the upstream on other connections.
+var errOutOfStep = fmt.Errorf("%w, on a kept connection", requester.ErrWrongRequest)
+
+// errUnprovedRefusal means that a refusal on a kept connection does not name the request. The connection has been
+// closed.
+var errUnprovedRefusal = fmt.Errorf("%w: refusal without its id", errOutOfStep)
+
 // deliveredStream is the part of a stream that has been sent to the caller.
 type deliveredStream struct {
 	events [][]byte // kept to resume; none if another region runs the request
@@ -169,8 +177,21 @@
 	return errors.As(err, &r)
 }
 
-// runOnUpstream runs the request on one upstream, on a new connection if newConnection is set.
+// runOnUpstream runs the request on one upstream, on a new connection if newConnection is set or a kept one is
+// out of step.
 func (s *Server) runOnUpstream(ctx context.Context, c *completion, upstream *router.Reservation, newConnection bool, out answerWriter) error {
+	err := s.sendToUpstream(ctx, c, upstream, newConnection, out)
+	if !errors.Is(err, errOutOfStep) {
+		return err
+	}
+	s.Log.Warn().Err(err).Str("request", c.requestID).Str("upstream", upstream.Name).Int("tokens", c.delivered.tokens).Msg("sent again on a new connection")
+	if !errors.Is(err, errUnprovedRefusal) {
+		s.requester.CloseIdle(upstream.Address)
+	}
+	return s.sendToUpstream(ctx, c, upstream, true, out)
+}
+
+func (s *Server) sendToUpstream(ctx context.Context, c *completion, upstream *router.Reservation, newConnection bool, out answerWriter) error {
 	body, err := c.upstreamBody()
 	if err != nil {
 		return err
@@ -193,8 +214,15 @@
 		return err
 	}
 	defer answer.Close()
+	if err = s.copyAnswer(c, answer, out); answer.Reused && errors.Is(err, requester.ErrWrongRequest) && !errors.Is(err, errOutOfStep) {
+		return fmt.Errorf("%w: %w", errOutOfStep, err)
+	}
+	return err
+}
+
+func (s *Server) copyAnswer(c *completion, answer *requester.Answer, out answerWriter) error {
 	if answer.StatusCode != http.StatusOK {
-		return upstreamError(answer)
+		return upstreamError(c, answer)
 	}
 	if c.stream {
 		return s.copyStream(c, answer, out)
@@ -203,10 +231,16 @@
 }
 
 // upstreamError returns a *Refusal if the upstream rejected the request itself, else an error that
-// counts as a failure of the upstream.
-func upstreamError(a *requester.Answer) error {
-	b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
-	if a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
+// counts as a failure of the upstream. A request of which tokens were delivered is accepted already.
+func upstreamError(c *completion, a *requester.Answer) error {
+	if c.delivered.tokens == 0 && a.StatusCode >= 400 && a.StatusCode < 500 && a.StatusCode != http.StatusTooManyRequests && a.StatusCode != http.StatusRequestTimeout {
+		if a.Reused && a.Header.Get("X-Request-Id") != c.requestID {
+			if a.Body == http.NoBody {
+				return errOutOfStep
+			}
+			return errUnprovedRefusal // its body is left unread, so that the connection is closed
+		}
+		b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
 		r := newRefusal(a.StatusCode, "upstream_refused", strings.TrimSpace(string(b)))
 		r.Run = RunUnknown
 		return r
@@ -264,30 +298,88 @@
 	return text.String(), nil
 }
 
-var (
-	usagePrefix  = []byte(`"usage":{`)
-	emptyChoices = []byte(`"choices":[]`)
-)
+// errNoCompletion means that an upstream's answer with status 200 is no completion, such as an error.
+var errNoCompletion = errors.New("server: the upstream's answer is no completion")
+
+// chunk is what a host needs of an event of a stream or of a whole answer.
+type chunk struct {
+	ID      string          `json:"id"`
+	Error   json.RawMessage `json:"error"`
+	Choices []choice        `json:"choices"`
+	Usage   *struct {
+		Total int64 `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+type choice struct {
+	FinishReason *string `json:"finish_reason"`
+}
+
+// isLast reports whether the answer's text has ended.
+func (c *chunk) isLast() bool {
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			return true
+		}
+	}
+	return len(c.Choices) == 0 && c.Usage != nil
+}
+
+// parseChunk decodes a chunk of the answer to a request. It returns an error if b is anything else.
+func parseChunk(b []byte, requestID string) (chunk, error) {
+	var c chunk
+	if isTokenChunk(b, requestID) {
+		return chunk{Choices: make([]choice, 1)}, nil
+	}
+	if err := json.Unmarshal(b, &c); err != nil {
+		return c, fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
+	}
+	switch {
+	case !strings.Contains(c.ID, requestID):
+		return c, requester.ErrWrongRequest
+	case len(c.Error) > 0 && string(c.Error) != "null", c.Choices == nil && c.Usage == nil:
+		return c, errNoCompletion
+	}
+	return c, nil
+}
+
+// isTokenChunk reports whether b is a chunk of the request, not the last, with neither an error nor usage, as
+// nearly all are. It saves most of the time to decode them, but misses some, such as those with spaces.
+func isTokenChunk(b []byte, requestID string) bool {
+	id, ok := bytes.CutPrefix(b, []byte(`{"id":"`))
+	if !ok {
+		return false
+	}
+	id, _, _ = bytes.Cut(id, []byte(`"`))
+	return bytes.Contains(id, []byte(requestID)) && bytes.Contains(b, []byte(`"choices":[{`)) &&
+		!bytes.Contains(b, []byte(`"finish_reason":"`)) && !bytes.Contains(b, []byte(`"error"`)) &&
+		!bytes.Contains(b, []byte(`"usage"`)) && json.Valid(b)
+}
 
 // copyStream sends events to the caller as they arrive. The caller's stream gets its end marker
-// only after the upstream's.
+// only after the upstream's, and only if the upstream said before that the text has ended.
 func (s *Server) copyStream(c *completion, a *requester.Answer, out answerWriter) error {
 	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout}
-	id := []byte(c.requestID)
+	ended := false
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !ended {
+			return fmt.Errorf("%w: end marker without usage or finish_reason", requester.ErrIncomplete)
+		}
 		if errors.Is(err, io.EOF) {
 			return out.endStream()
 		}
 		if err != nil {
 			return err
 		}
-		if !bytes.Contains(e, id) {
-			return requester.ErrWrongRequest
+		chunk, err := parseChunk(e, c.requestID)
+		if err != nil {
+			return err
 		}
-		if bytes.Contains(e, usagePrefix) {
-			c.recordUsage(e)
-			if !c.wantsUsage && bytes.Contains(e, emptyChoices) {
+		ended = ended || chunk.isLast()
+		if chunk.Usage != nil {
+			c.usedTokens = chunk.Usage.Total
+			if !c.wantsUsage && len(chunk.Choices) == 0 {
 				continue
 			}
 		}
@@ -329,13 +421,16 @@
 		}
 		return fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
 	}
-	if !json.Valid(b) {
-		return requester.ErrIncomplete
+	chunk, err := parseChunk(b, c.requestID)
+	if err != nil {
+		return err
+	}
+	if len(chunk.Choices) == 0 {
+		return errNoCompletion
 	}
-	if !bytes.Contains(b, []byte(c.requestID)) {
-		return requester.ErrWrongRequest
+	if chunk.Usage != nil {
+		c.usedTokens = chunk.Usage.Total
 	}
-	c.recordUsage(b)
 	c.firstTokenAt = s.Timer.Now()
 	if err := out.writeBody(b); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
@@ -352,15 +447,3 @@
 	p.answer.Watchdog.Restart(firstTokenTimeout)
 	return n, err
 }
-
-// recordUsage stores the total number of tokens that an upstream reports, if it does.
-func (c *completion) recordUsage(e []byte) {
-	var chunk struct {
-		Usage *struct {
-			Total int64 `json:"total_tokens"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(e, &chunk); err == nil && chunk.Usage != nil {
-		c.usedTokens = chunk.Usage.Total
-	}
-}
