TestRelayedAnswerSaysItLeaves: the first request goes to the upstream that is leaving

Trace (arrivals of 8 failures): all 100 requests went to the other upstream, whose first response was quick, so that the scheduler's choice by response times never came back to the one that says it is leaving. That choice is not what the test is about.

--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -85,6 +85,7 @@
 // in an earlier answer to this host that it is leaving, through another host of that region.
 func TestRelayedAnswerSaysItLeaves(t *testing.T) {
 	s := newSystem(t, []scriptStep{text(200, "whole", "Leaving", "1")}, []scriptStep{text(200, "whole")})
+	s.preferFirst()
 	now := s.Timer.Now()
 	relay := func(excluded ...string) *relayedReplies {
 		m := s.newRelayRequest(&Request{ID: "1", Host: "h", Method: "POST", Path: "/unsafe/x", pool: "p", ArrivedAt: now, answerUntil: now + time.Second, objectiveAt: now + time.Second})
