Show by continuity that the process behind an unframed response goes on

Change: a witness is only replaced while it is still open itself, before its upstream may close it as idle, and a new one takes its place only if it is open then too. A witness from the idle connections keeps the time since which it is idle.

--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -10,29 +10,24 @@
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
-const (
-	// Time that it may take to open the witness of a response.
-	witnessTimeout = 500 * time.Millisecond
-	// Time after which a witness that its upstream has closed, as it was idle, is replaced while the response
-	// goes on.
-	witnessCheckInterval = 500 * time.Millisecond
-)
+// Time that it may take to open the witness of a response.
+const witnessTimeout = 500 * time.Millisecond
 
 // errProcessEnded means that the end of a response may be that of the upstream's process.
 var errProcessEnded = errors.New("forwarder: the upstream's process may have ended")
 
 // endCheck finds out whether a response that states neither a length nor chunks ended by itself. The sockets of a
 // killed process are closed as after a whole response, so another connection to the same process is kept beside
-// it: the response is whole only if that one stays open. Close must be called.
+// it, the witness: the response is whole only if that one stays open. Close must be called.
 type endCheck struct {
 	f           *Forwarder
 	request     *Request
 	reservation *scheduler.Reservation
 	call        *pooler.Call // nil: the response states its end
-	witness     *pooler.Witness
-	err         error // why there is no witness
-	opening     chan struct{}
-	checkedAt   time.Duration
+	// opened is closed once witness, or else err, is set.
+	opened  chan struct{}
+	witness *pooler.Witness
+	err     error
 }
 
 // newEndCheck begins to open a witness if the response that is read from call needs one.
@@ -41,35 +36,45 @@
 		return &endCheck{}
 	}
 	c := &endCheck{f: f, request: r, reservation: reservation, call: call}
-	c.open(ctx)
+	c.open(ctx, nil)
 	return c
 }
 
-func (c *endCheck) open(ctx context.Context) {
-	opening := make(chan struct{})
-	c.opening, c.checkedAt = opening, c.f.Timer.Now()
+// open opens a witness. If earlier is still open then, which the upstream may soon close because it is idle, both
+// are connections to the same process, and the new one takes its place.
+func (c *endCheck) open(ctx context.Context, earlier *pooler.Witness) {
+	opened := make(chan struct{})
+	c.opened, c.witness = opened, earlier
 	go func() {
-		defer close(opening)
+		defer close(opened)
 		ctx, cancel := c.f.withDeadline(ctx, c.f.Timer.Now()+witnessTimeout)
 		defer cancel()
-		c.witness, c.err = c.f.Pool.Witness(ctx, c.reservation.Address)
+		w, err := c.f.Pool.Witness(ctx, c.reservation.Address)
+		switch {
+		case earlier == nil:
+			c.witness, c.err = w, err
+		case err != nil:
+		case earlier.Open():
+			earlier.Release()
+			c.witness = w
+		default:
+			w.Release()
+		}
 	}()
 }
 
-// recordProgress is called when a part of the response has arrived: its process serves.
+// recordProgress is called when a part of the response has arrived.
 func (c *endCheck) recordProgress(ctx context.Context) {
-	if c.call == nil || c.f.Timer.Now()-c.checkedAt < witnessCheckInterval {
+	if c.call == nil {
 		return
 	}
 	select {
-	case <-c.opening:
+	case <-c.opened:
 	default:
 		return
 	}
-	c.checkedAt = c.f.Timer.Now()
-	if c.witness == nil || !c.witness.Open() {
-		c.Close()
-		c.open(ctx)
+	if c.witness != nil && c.witness.Expiring() {
+		c.open(ctx, c.witness)
 	}
 }
 
@@ -78,7 +83,7 @@
 	if c.call == nil {
 		return nil
 	}
-	<-c.opening
+	<-c.opened
 	err := c.err
 	switch {
 	case c.reservation.ProcessEnded(c.call.OpenedAt()):
@@ -99,9 +104,8 @@
 	if c.call == nil {
 		return
 	}
-	<-c.opening
+	<-c.opened
 	if c.witness != nil {
 		c.witness.Release()
-		c.witness = nil
 	}
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -339,7 +339,7 @@
 	c.head.Release()
 	contextActive := c.stopContextWatch()
 	if contextActive && c.bodyComplete && c.reusable() {
-		c.pool.pushIdle(c.conn)
+		c.pool.pushIdle(c.conn, c.pool.Timer.Now())
 		return
 	}
 	_ = c.conn.Conn.Close()
@@ -434,7 +434,7 @@
 		return err
 	}
 	c.idleTimeout = maxIdleTimeout
-	p.pushIdle(c)
+	p.pushIdle(c, p.Timer.Now())
 	return nil
 }
 
@@ -454,10 +454,10 @@
 	return nil
 }
 
-func (p *Pool) pushIdle(c *conn) {
+func (p *Pool) pushIdle(c *conn, since time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.idleSince = p.Timer.Now()
+	c.idleSince = since
 	if p.idle == nil {
 		p.idle = map[string][]*conn{}
 	}
--- a/internal/pooler/witness.go
+++ b/internal/pooler/witness.go
@@ -1,6 +1,7 @@
 package pooler
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -14,6 +15,8 @@
 type Witness struct {
 	pool *Pool
 	conn *conn
+	// idleSince is the time on the Pool's Timer since which the connection is idle.
+	idleSince time.Duration
 }
 
 // Witness returns an idle connection to an address, or opens one.
@@ -22,10 +25,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.idleTimeout == 0 { // no request was sent on it
-		c.idleTimeout = maxIdleTimeout
-	}
-	return &Witness{pool: p, conn: c}, nil
+	c.idleTimeout = cmp.Or(c.idleTimeout, maxIdleTimeout)
+	return &Witness{pool: p, conn: c, idleSince: cmp.Or(c.idleSince, p.Timer.Now())}, nil
 }
 
 // Open reports whether the other end has not closed the connection.
@@ -43,11 +44,16 @@
 	return w.Open()
 }
 
-// Release makes the connection an idle one again, unless it was closed.
+// Expiring reports whether the upstream may soon close the connection because it is idle.
+func (w *Witness) Expiring() bool {
+	return w.pool.Timer.Now()-w.idleSince >= w.conn.idleTimeout/2
+}
+
+// Release makes the connection an idle one again, idle since it was, unless the other end has closed it.
 func (w *Witness) Release() {
 	if !w.Open() {
 		_ = w.conn.Conn.Close()
 		return
 	}
-	w.pool.pushIdle(w.conn)
+	w.pool.pushIdle(w.conn, w.idleSince)
 }
