Allow a byte order mark and blocks without data in streams

A sound stream that began with a byte order mark was broken off before its first event, or not resumed; one that began with a reconnection time (retry: 100 and an empty line) was not resumed by another upstream, and a continuation that began so was broken off. Cause: since events are checked to follow each other, a line after a byte order mark is no known field, and a block without ID counts as an event, although clients dispatch none without data.

A byte order mark is skipped only at the beginning of an answer; one within an answer, before a continuation, would hide the ID of the next event from the caller and still breaks it off.

--- a/internal/forwarder/continuation_test.go
+++ b/internal/forwarder/continuation_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("-want +got\n%s", diff)
 	}
 }
+
+// TestStreamsWithPreamble guards against breaking off a sound stream, or one that another upstream continues,
+// because of a byte order mark or a block without data.
+func TestStreamsWithPreamble(t *testing.T) {
+	for _, c := range []struct{ name, first, second, want string }{
+		{"byte order mark", "\ufeffdata: a\n\n", "", "\ufeffdata: a\n\n"},
+		{"byte order mark, resumed", "\ufeff" + firstEvent + "id: 2\nda", secondEvent, "\ufeff" + events},
+		{"retry", "retry: 100\n\n" + firstEvent + "id: 2\nda", secondEvent, "retry: 100\n\n" + events},
+		{"retry, resumed", firstEvent + "id: 2\nda", "retry: 100\n\n" + secondEvent, firstEvent + "retry: 100\n\n" + secondEvent},
+	} {
+		first := truncate(c.first)
+		if c.second == "" {
+			first = text(200, c.first)
+		}
+		s := newSystem(t, []scriptStep{first}, []scriptStep{text(200, c.second)})
+		s.preferFirst()
+		if diff := cmp.Diff(result{Status: 200, Body: c.want, Finished: true}, s.call("/resume/x", "")); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -18,6 +18,8 @@
 	errNoEvent = errors.New("forwarder: the stream holds bytes that are no event")
 )
 
+var byteOrderMark = []byte("\ufeff")
+
 // checkContinuation returns an error if a response cannot continue the stream that began with a response of
 // mediaType, which is empty if that one stated none.
 func checkContinuation(response *http.Response, mediaType string) error {
@@ -46,6 +48,8 @@
 	continues bool
 	// unnumbered is set if an event had no ID: no other attempt can continue after it.
 	unnumbered bool
+	// atStart is set until the first line of an answer, which a byte order mark may precede.
+	atStart bool
 }
 
 // newEventSequence returns the sequence of an attempt for r. The caller has the events up to s.lastEventID,
@@ -55,7 +59,7 @@
 	if r.takesUp() {
 		last = cmp.Or(last, r.LastEventID)
 	}
-	return eventSequence{last: last, continues: last != "", unnumbered: s.unnumbered}
+	return eventSequence{last: last, continues: last != "", unnumbered: s.unnumbered, atStart: !s.headSent}
 }
 
 // add adds complete events. If one does not follow the last, or is no event, it returns the length of those
@@ -65,6 +69,9 @@
 	start, at := 0, 0
 	for line := range bytes.Lines(events) {
 		at += len(line)
+		if q.atStart {
+			line, q.atStart = bytes.TrimPrefix(line, byteOrderMark), false
+		}
 		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 {
 			e.addLine(line)
 			continue
@@ -83,6 +90,8 @@
 		return nil // a comment, or an empty line
 	case !e.hasField:
 		return errNoEvent
+	case e.id == "" && !e.hasData:
+		return nil
 	case e.id == "" && q.continues:
 		return fmt.Errorf("%w: it has no ID, the last one %.64q", errOutOfOrder, q.last)
 	case e.id == "":
@@ -99,8 +108,9 @@
 type event struct {
 	id string
 	// hasLines is set if it has a line that is no comment, and hasField if one of them is a field that the
-	// format of event streams defines. Other fields are allowed beside those.
-	hasLines, hasField bool
+	// format of event streams defines. Other fields are allowed beside those. Clients dispatch no event
+	// unless hasData is set.
+	hasLines, hasField, hasData bool
 }
 
 // addLine adds a line that is not empty.
@@ -114,7 +124,9 @@
 	case "id":
 		e.id = string(bytes.TrimSpace(value))
 		e.hasField = true
-	case "data", "event", "retry":
+	case "data":
+		e.hasField, e.hasData = true, true
+	case "event", "retry":
 		e.hasField = true
 	}
 }
