Do not take a response for whole, nor repeat it, when time ends during the check of its end

If the context ended while the witness of a response without a length or chunks was watched, the witness counted as one that outlived the response, which was sent as complete unproved. With a check that is not cut short, a repeatable request whose response was read in time is sent to another upstream if the time to begin a response passes during the check, and its first response is lost: forwardWhole records the receipt only after the check, until then the timeout of the attempt takes the upstream for silent. The wait also counted as the upstream's delay.

Outlives is false if ctx ends first, and the receipt is recorded once the body is read.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -260,12 +260,12 @@
 	if err != nil && !large {
 		return errors.Join(errUpstreamFailed, err)
 	}
+	reservation.RecordFirstToken()
 	if !large {
 		if err := end.check(ctx); err != nil {
 			return err
 		}
 	}
-	reservation.RecordFirstToken()
 	if verdict == UpstreamError {
 		if r.repeatable() && r.attempts < int(r.route.Attempts) && !large {
 			s.keepFallback(&failedResponse{status: call.Response.StatusCode, header: f.Protocol.ResponseHeader(call.Response.Header), body: b, hold: hold})
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // unframed responds with neither a length nor chunks, so that the body ends with the connection,
@@ -212,3 +214,25 @@
 		t.Errorf("-want +got\n%s", diff)
 	}
 }
+
+// TestUnframedAnswerWhenAttemptTimesOut guards against sending a request again because the time to begin a
+// response passes after the whole response was read.
+func TestUnframedAnswerWhenAttemptTimesOut(t *testing.T) {
+	var s *system
+	step := func(w http.ResponseWriter, r *http.Request) {
+		s.Timer.Advance(980 * time.Millisecond)
+		unframed(t, "ok", false)(w, r)
+		time.Sleep(50 * time.Millisecond) // lets the end of the response be checked before the clock advances again
+		s.Timer.Advance(40 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		s.Timer.Advance(40 * time.Millisecond)
+	}
+	s = newSystemAt(t, &timer.Service{Clock: &timer.ManualClock{}}, []scriptStep{step}, []scriptStep{text(200, "again")})
+	s.preferFirst()
+	if diff := cmp.Diff(result{Status: 200, Body: "ok", Finished: true}, s.call("/safe/x", "")); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"u0"}, s.allArrivals()); diff != "" {
+		t.Errorf("arrivals: -want +got\n%s", diff)
+	}
+}
--- a/internal/pooler/witness.go
+++ b/internal/pooler/witness.go
@@ -31,7 +31,7 @@
 // Open reports whether the other end has not closed the connection.
 func (w *Witness) Open() bool { return nothingReceived(w.conn.Conn) }
 
-// Outlives reports whether the connection stays open for closingTime, or until ctx ends.
+// Outlives reports whether the connection stays open for closingTime. It is false if ctx ends before.
 func (w *Witness) Outlives(ctx context.Context) bool {
 	passed := make(chan struct{})
 	stop := w.pool.Timer.Once(closingTime, func() { close(passed) })
@@ -39,6 +39,7 @@
 	select {
 	case <-passed:
 	case <-ctx.Done():
+		return false
 	}
 	return w.Open()
 }
