Refuse messages of the log that no sound replica can have sent

Callers would see: a control host that ends at one message of another one, and at each start after that.

the log then cannot be read back. A reply for an entry or a heartbeat that was never sent counted as a majority's: a leader could commit what it alone holds, and keep its lease without the others.

Cause: Replica.Step took every message of an authenticated peer as sound.

Ruled out: that sound messages are refused.

Change: Step checks a message first and returns ErrInvalidMessage; the message then changes nothing. Replicate counts and logs it, and goes on with the others of its batch.

A term that is far too high is still believed: nothing tells it from a later one.

--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -32,16 +32,27 @@
 	Controller *Controller
 }
 
-// Replicate steps the replica with messages of another one.
+// Replicate steps the replica with messages of another one. Invalid ones are refused, the others count.
 func (s *Service) Replicate(_ context.Context, batch *schema.Messages) (*schema.Empty, error) {
-	s.Controller.senders.learnAddress(batch.From, batch.Address)
-	s.Controller.step(func(r *replicator.Replica) {
+	c := s.Controller
+	c.senders.learnAddress(batch.From, batch.Address)
+	refused := 0
+	var lastErr error
+	c.step(func(r *replicator.Replica) {
 		for _, message := range batch.Messages {
-			if message.To == r.ID {
-				r.Step(message)
+			if message.To != r.ID {
+				continue
+			}
+			if err := r.Step(message); err != nil {
+				refused, lastErr = refused+1, err
 			}
 		}
 	})
+	if refused > 0 {
+		c.metrics.messagesRefused.Add(float64(refused))
+		c.Log.Warn().Err(lastErr).Uint64("from", batch.From).Str("address", batch.Address).Int("refused", refused).Int("messages", len(batch.Messages)).
+			Msg("messages of the log refused")
+	}
 	return &schema.Empty{}, nil
 }
 
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -6,8 +6,11 @@
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
-// Step processes one message from another replica.
-func (r *Replica) Step(m *schema.Message) {
+// Step processes one message from another replica. After ErrInvalidMessage nothing has changed.
+func (r *Replica) Step(m *schema.Message) error {
+	if err := r.check(m); err != nil {
+		return err
+	}
 	switch m.Kind {
 	case schema.MessageKind_MESSAGE_PREVOTE, schema.MessageKind_MESSAGE_VOTE:
 		r.stepVoteRequest(m)
@@ -18,6 +21,7 @@
 	case schema.MessageKind_MESSAGE_APPEND_REPLY:
 		r.stepAppendReply(m)
 	}
+	return nil
 }
 
 func (r *Replica) stepFromLeader(m *schema.Message) {
--- a/internal/replicator/replica_test.go
+++ b/internal/replicator/replica_test.go
@@ -172,7 +172,9 @@
 	if to == nil || to.down || to.suspended || to.partitioned || (from != nil && from.partitioned) || g.random.IntN(15) == 0 {
 		return
 	}
-	to.r.Step(msg)
+	if err := to.r.Step(msg); err != nil {
+		g.t.Fatalf("replica %d refused a message of replica %d: %v", msg.To, msg.From, err)
+	}
 	g.processOutput(msg.To)
 }
 
@@ -364,7 +366,10 @@
 				}
 				// Followers answer the empty heartbeats; the entry is on its way.
 				if len(m.Entries) == 0 {
-					leader.r.Step(&schema.Message{Kind: schema.MessageKind_MESSAGE_APPEND_REPLY, From: m.To, To: m.From, Term: m.Term, Index: m.Index, Round: m.Round})
+					reply := &schema.Message{Kind: schema.MessageKind_MESSAGE_APPEND_REPLY, From: m.To, To: m.From, Term: m.Term, Index: m.Index, Round: m.Round}
+					if err := leader.r.Step(reply); err != nil {
+						t.Fatal(err)
+					}
 				}
 			}
 			leader.r.Tick()
