--- /dev/null
+++ b/internal/controller/panic_test.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// runningController is a controller of a group with one voter that runs until the test ends.
+type runningController struct {
+	*Controller
+	t     *testing.T
+	ended chan error
+}
+
+func runController(t *testing.T, c *Controller) *runningController {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningController{Controller: c, t: t, ended: make(chan error, 1)}
+	go func() { _ = c.Timer.Run(ctx) }()
+	go func() { r.ended <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-r.ended
+	})
+	return r
+}
+
+// propose proposes a document until it is accepted.
+func (r *runningController) propose(number uint64) {
+	r.t.Helper()
+	for range 1000 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := r.Propose(ctx, &schema.Command{Op: &schema.Command_Document{Document: document(number)}})
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case err := <-r.ended:
+			r.ended <- nil
+			r.t.Fatalf("the controller ended: %v", err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	r.t.Fatalf("document %d is not accepted", number)
+}
+
+// confined calls f as the handler of a call does, which goes on after a panic.
+func confined(f func()) {
+	defer func() { _ = recover() }()
+	f()
+}
+
+// TestUnreadableMessages guards against a control host that ends, and ends again with every start, because
+// another one sent a snapshot or an entry that cannot be decoded.
+func TestUnreadableMessages(t *testing.T) {
+	const unreadable = "\xff"
+	for name, message := range map[string]*schema.Message{
+		"snapshot": {Kind: schema.MessageKind_MESSAGE_SNAPSHOT, Snapshot: &schema.LogSnapshot{
+			Index: 1 << 20, Term: 1, Members: &schema.Members{Members: []*schema.Member{{Id: 7, Voter: true}}}, State: []byte(unreadable),
+		}},
+		"entry": {Kind: schema.MessageKind_MESSAGE_APPEND, Entries: []*schema.Entry{{Data: []byte(unreadable)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := runController(t, newSingleController(t, nil))
+			c.propose(1)
+			c.mu.Lock()
+			_, term, _ := c.replica.Status()
+			last := c.replica.LastIndex()
+			lastTerm, _ := c.replica.TermAt(last)
+			members := c.replica.Members()
+			c.mu.Unlock()
+			message.From, message.To, message.Term = 9, 7, term+1
+			if len(message.Entries) > 0 {
+				message.Index, message.Logterm, message.Commit = last, lastTerm, last+1
+				message.Entries[0].Index, message.Entries[0].Term = last+1, term+1
+			}
+			confined(func() {
+				_, _ = (&Service{Controller: c.Controller}).Replicate(t.Context(), &schema.Messages{From: 9, Messages: []*schema.Message{message}})
+			})
+			c.propose(2)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if got := c.state.Document().GetNumber(); got != 2 {
+				t.Errorf("document %d in force, want 2", got)
+			}
+			if diff := cmp.Diff(members, c.replica.Members(), protocmp.Transform()); diff != "" {
+				t.Errorf("members: -before +after\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -6,12 +6,14 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
+	"fmt"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -36,14 +38,22 @@
 func (s *Service) Replicate(_ context.Context, batch *schema.Messages) (*schema.Empty, error) {
 	c := s.Controller
 	c.senders.learnAddress(batch.From, batch.Address)
+	var messages []*schema.Message
 	refused := 0
 	var lastErr error
+	for _, m := range batch.Messages {
+		if err := checkContent(m); err != nil {
+			refused, lastErr = refused+1, err
+			continue
+		}
+		messages = append(messages, m)
+	}
 	c.step(func(r *replicator.Replica) {
-		for _, message := range batch.Messages {
-			if message.To != r.ID {
+		for _, m := range messages {
+			if m.To != r.ID {
 				continue
 			}
-			if err := r.Step(message); err != nil {
+			if err := r.Step(m); err != nil {
 				refused, lastErr = refused+1, err
 			}
 		}
@@ -56,6 +66,25 @@
 	return &schema.Empty{}, nil
 }
 
+// checkContent returns an error if a message carries a state or a command that cannot be decoded. It must be
+// found before the replica takes the message: what is in the log is applied at every start.
+func checkContent(m *schema.Message) error {
+	if m.Snapshot != nil {
+		if _, err := configurer.Decode(m.Snapshot.State); err != nil {
+			return fmt.Errorf("controller: snapshot up to entry %d: %w", m.Snapshot.Index, err)
+		}
+	}
+	for _, e := range m.Entries {
+		if e.Kind != schema.EntryKind_ENTRY_COMMAND {
+			continue
+		}
+		if err := proto.Unmarshal(e.Data, &schema.Command{}); err != nil {
+			return fmt.Errorf("controller: command in entry %d: %w", e.Index, err)
+		}
+	}
+	return nil
+}
+
 // OperatorName returns the name of the operator with this token, and false if there is none. The
 // name is "host" if the token is the secret that hosts share.
 func OperatorName(settings *schema.Settings, token string) (string, bool) {
