Start a replica again after a panic in a step, and end one that cannot apply its log

Callers would see: a control host that goes on with a state that the others do not have. A panic while a message of the log is handled was recovered where the call is answered; the replica and the state stayed as the panic left them. An entry whose application panicked was taken off the list before, so that it was left out, and the host went on to lead. The same panic in a tick ended the process, and one in reconcile left the lock held.

Evidence, on the code before: TestPanicWhileApplying: the controller goes on and leads ("leads: true") with the entry left out; TestPanicInStep: the replica whose step panicked goes on.

Change: a panic in a step halts the replica. It starts again from what is on disk, as after a failure of the store, and as after a restart of the process: nothing that was not synced was relied on. If an entry was being applied, the process ends, since the entry would be applied again at every start. Commands in progress get ErrOutcomeUnknown. reconcile reads the replica in a step.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
@@ -88,6 +89,7 @@
 	waiters      map[uint64]waiter // by index of the entry
 	lastRole     replicator.Role
 	draining     bool       // set by Drain; no command is accepted
+	applying     uint64     // index of the entry that is being applied; 0: none
 	halted       bool       // set by halt; the replica makes no further steps until it is started again
 	failure      chan error // receives the error that halted the replica
 }
@@ -135,7 +137,7 @@
 		return err
 	}
 	c.state = state
-	c.appliedIndex, c.unapplied, c.caughtUp = stored.Snapshot.Index, nil, false
+	c.appliedIndex, c.unapplied, c.caughtUp, c.applying = stored.Snapshot.Index, nil, false, 0
 	c.compaction.reset(stored.Snapshot)
 	c.ballot = stored.HardState
 	c.replica = &replicator.Replica{
@@ -149,9 +151,9 @@
 	return c.Distributor.Replace(state.Snapshot())
 }
 
-// Run runs the replica until ctx ends and closes the store. If the store fails, it starts the replica
-// again from what is on disk once that accepts writes; after any other error of halt it returns
-// that. The caller serves the gRPC service.
+// Run runs the replica until ctx ends and closes the store. If the store fails or a step panics, it starts
+// the replica again from what is on disk once that accepts writes; after any other error of halt it
+// returns that. The caller serves the gRPC service.
 func (c *Controller) Run(ctx context.Context) error {
 	defer c.senders.close()
 	stopTicks := c.Timer.Every(tickInterval, c.tick)
@@ -174,15 +176,21 @@
 // runUntilFailure returns nil when ctx ends, or the error that halted the replica for good.
 func (c *Controller) runUntilFailure(ctx context.Context) error {
 	for {
+		restarted := "storage works again"
 		select {
 		case <-ctx.Done():
 			return nil
 		case err := <-c.failure:
-			if !errors.Is(err, errStoreFailed) {
+			switch {
+			case errors.Is(err, errStoreFailed):
+				c.Log.Error().Err(err).Msg("storage failed; this host neither votes nor leads until it works again")
+				c.metrics.storeFailed.Set(1)
+			case errors.Is(err, errStepPanicked):
+				c.Log.Error().Err(err).Msg("step panicked; starting again from what is on disk")
+				restarted = "replica started again"
+			default:
 				return err
 			}
-			c.Log.Error().Err(err).Msg("storage failed; this host neither votes nor leads until it works again")
-			c.metrics.storeFailed.Set(1)
 		}
 		for attempt := 1; ; attempt++ {
 			if err := c.Timer.Sleep(ctx, reopenInterval); err != nil {
@@ -190,7 +198,7 @@
 			}
 			err := c.restartReplica()
 			if err == nil {
-				c.Log.Info().Int("attempts", attempt).Msg("storage works again")
+				c.Log.Info().Int("attempts", attempt).Msg(restarted)
 				c.metrics.storeFailed.Set(0)
 				break
 			}
@@ -226,6 +234,7 @@
 	if c.halted {
 		return
 	}
+	defer func() { c.haltAfterPanic(recover()) }()
 	begunAt, applied := c.Timer.Now(), c.appliedIndex
 	c.advanceClock()
 	f(c.replica)
@@ -293,7 +302,9 @@
 	for len(c.unapplied) > 0 && !c.halted {
 		e := c.unapplied[0]
 		c.unapplied = c.unapplied[1:]
+		c.applying = e.Index
 		c.apply(e)
+		c.applying = 0
 		if len(c.unapplied) > 0 && c.Timer.Now() >= until {
 			select {
 			case c.applyNow <- struct{}{}:
@@ -337,8 +348,8 @@
 	c.compaction.bytes += len(e.Data)
 	c.metrics.entriesApplied.Inc()
 	w, waiting := c.waiters[e.Index]
-	delete(c.waiters, e.Index)
 	if e.Kind != schema.EntryKind_ENTRY_COMMAND {
+		delete(c.waiters, e.Index)
 		if waiting {
 			w.resolve(nil)
 		}
@@ -350,6 +361,7 @@
 		return
 	}
 	result, delta := c.state.Apply(command)
+	delete(c.waiters, e.Index)
 	if delta != nil {
 		c.publish(delta, c.state.Snapshot())
 	}
@@ -371,8 +383,15 @@
 	}
 }
 
-// errStoreFailed means that the store could not write or sync.
-var errStoreFailed = errors.New("the store failed")
+// Causes of a halt.
+var (
+	// errStoreFailed means that the store could not write or sync.
+	errStoreFailed = errors.New("the store failed")
+	// errStepPanicked means that a step panicked before it applied an entry.
+	errStepPanicked = errors.New("a step panicked")
+	// errApplyPanicked means that applying an entry panicked: after a new start it would again.
+	errApplyPanicked = errors.New("applying an entry panicked")
+)
 
 func storeError(err error) error {
 	if err == nil {
@@ -395,6 +414,21 @@
 	c.failure <- fmt.Errorf("controller: %w", err)
 }
 
+// haltAfterPanic halts the replica if a step panicked with v, since the step may have made half of a change,
+// and reports whether it did. The caller holds mu.
+func (c *Controller) haltAfterPanic(v any) bool {
+	if v == nil {
+		return false
+	}
+	confiner.Record(c.Log, "step", v)
+	if c.applying != 0 {
+		c.halt(fmt.Errorf("%w: entry %d: %v", errApplyPanicked, c.applying, v))
+	} else {
+		c.halt(fmt.Errorf("%w: %v", errStepPanicked, v))
+	}
+	return true
+}
+
 func (c *Controller) updateRole() {
 	role, term, _ := c.replica.Status()
 	if role == c.lastRole {
@@ -466,7 +500,7 @@
 	}
 }
 
-func (c *Controller) startProposal(command *schema.Command, outcome chan *schema.Result) error {
+func (c *Controller) startProposal(command *schema.Command, outcome chan *schema.Result) (err error) {
 	command.Time = time.Now().Unix()
 	data, err := proto.Marshal(command)
 	if err != nil {
@@ -474,10 +508,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advanceClock()
 	if c.halted || c.draining {
 		return ErrNotLeader
 	}
+	defer func() {
+		if c.haltAfterPanic(recover()) {
+			err = ErrOutcomeUnknown
+		}
+	}()
+	c.advanceClock()
 	if c.joinPending(command.GetDocument(), outcome) {
 		return nil
 	}
--- a/internal/controller/panic_test.go
+++ b/internal/controller/panic_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/testing/protocmp"
 
+	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -57,6 +60,56 @@
 	f()
 }
 
+// TestPanicInStep guards against a replica that goes on with half of a change in memory after a step panicked:
+// it must go on with what is on disk, and accept further changes.
+func TestPanicInStep(t *testing.T) {
+	c := runController(t, newSingleController(t, nil))
+	c.propose(1)
+	c.mu.Lock()
+	replica := c.replica
+	c.mu.Unlock()
+	confined(func() {
+		c.step(func(*replicator.Replica) { panic("broken") })
+	})
+	c.propose(2)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replica == replica {
+		t.Error("the replica whose step panicked goes on")
+	}
+	if got := c.state.Document().GetNumber(); got != 2 {
+		t.Errorf("document %d in force, want 2", got)
+	}
+}
+
+// TestPanicWhileApplying guards against a control host that leaves out, or applies by half, an entry of the log
+// whose application panics, and then serves and leads with a state that the others do not have.
+func TestPanicWhileApplying(t *testing.T) {
+	c := newSingleController(t, nil)
+	r := runController(t, c)
+	r.propose(1)
+	c.Distributor.Store = func(*configurer.Snapshot) error { panic("broken") }
+	outcome := make(chan error, 1)
+	go confined(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := c.Propose(ctx, &schema.Command{Op: &schema.Command_Document{Document: document(2)}})
+		outcome <- err
+	})
+	select {
+	case err := <-r.ended:
+		r.ended <- nil
+		if !errors.Is(err, errApplyPanicked) {
+			t.Errorf("the controller ended with %v, want errApplyPanicked", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatalf("the controller goes on; leads: %v", c.view.Load().holdsLease(c.Timer.Now()))
+	}
+	if err := <-outcome; !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("the command: error %v, want ErrOutcomeUnknown", err)
+	}
+}
+
 // TestUnreadableMessages guards against a control host that ends, and ends again with every start, because
 // another one sent a snapshot or an entry that cannot be decoded.
 func TestUnreadableMessages(t *testing.T) {
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -69,12 +69,15 @@
 // reconcile proposes the next change that the leader finds necessary: to activate joining
 // hosts, or to replace a holder of records.
 func (c *Controller) reconcile() {
-	c.mu.Lock()
-	c.advanceClock()
-	role, term, _ := c.replica.Status()
-	leads := role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0 && c.caughtUp && len(c.unapplied) == 0
-	snapshot := c.state.Snapshot()
-	c.mu.Unlock()
+	leads := false
+	var term uint64
+	var snapshot *configurer.Snapshot
+	c.step(func(r *replicator.Replica) {
+		var role replicator.Role
+		role, term, _ = r.Status()
+		leads = role == replicator.Leader && r.RemainingLeaseTicks() > 0 && c.caughtUp && len(c.unapplied) == 0
+		snapshot = c.state.Snapshot()
+	})
 	if !leads {
 		return
 	}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -136,6 +136,7 @@
 func (c *Controller) describe() *schema.StateReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer func() { c.haltAfterPanic(recover()) }()
 	c.advanceClock()
 	role, term, leader := c.replica.Status()
 	reply := &schema.StateReply{
