Confine a panic of a timed call to that call, and count panics

Panics of handlers were logged, but not counted.

Cause: timer.Service called subscribers without recovering.

Evidence: TestPanicEndsOneCall of package timer ends its process with "panic: once" on the code before.

Change: Service.Confine, which the processes of both paths set: a panic is logged and counted (trefoil_panics_total, by kind of work), and a task at intervals is called again after the next interval, since it is queued again before the call. Without Confine a panic ends the process as before, so that tests see it. Handlers of requests and calls count their panics too.

After: the test passes: three calls of the task that panics each time, and a later call.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
@@ -133,9 +134,14 @@
 
 func controlFolder(s *schema.Settings) string { return filepath.Join(s.Data, "control") }
 
+// newClock returns the source of time of the process. A panic of one of its calls ends that call only.
+func newClock(log zerolog.Logger) *timer.Service {
+	return &timer.Service{Confine: func(call func()) { confiner.Call(log, "timer", call) }}
+}
+
 // runEntry runs an entry host until SIGTERM or SIGINT.
 func runEntry(settings *schema.Settings, log zerolog.Logger) error {
-	clock := &timer.Service{}
+	clock := newClock(log)
 	dial := &dialer.Dialer{Secret: settings.Secret, MutualTLS: settings.Mutual, Timer: clock}
 	defer dial.Close()
 	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Log: log, FaultPoints: injector.FromEnvironment()}
@@ -144,7 +150,7 @@
 
 // runControl runs a control host until SIGTERM or SIGINT.
 func runControl(settings *schema.Settings, log zerolog.Logger) error {
-	clock := &timer.Service{}
+	clock := newClock(log)
 	dial := &dialer.Dialer{Secret: settings.Secret, MutualTLS: settings.Mutual, Timer: clock}
 	defer dial.Close()
 	c := &controller.Controller{
@@ -214,7 +220,7 @@
 // provide them do not exist when the handler is created.
 func metricsHandler(listCollectors func() []prometheus.Collector) http.Handler {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), confiner.Collector())
 	inner := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for _, c := range listCollectors() {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -279,6 +280,7 @@
 // recoverCall turns a panic of the handler of a call into an error of that call. It must be deferred.
 func recoverCall(log zerolog.Logger, method string, err *error) {
 	if v := recover(); v != nil {
+		confiner.Count("call")
 		log.Error().Str("method", method).Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler panicked")
 		*err = status.Errorf(codes.Internal, "dialer: the handler of %s failed", method)
 	}
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	clock := &timer.Service{}
+	clock := c.newClock()
 	d := &dialer.Dialer{Secret: c.Settings.Secret, Timer: clock}
 	defer d.Close()
 	cluster := c.newCluster(clock, created && c.FirstStart)
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -89,7 +89,7 @@
 }
 
 func (e *Entry) build() {
-	e.Timer = &timer.Service{}
+	e.Timer = e.newClock()
 	e.incarnation = uint64(time.Now().UnixNano())
 	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer}
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -76,6 +77,11 @@
 	debug.SetGCPercent(gcGrowthPercent)
 }
 
+// newClock returns the source of time of the process. A panic of one of its calls ends that call only.
+func (o *Options) newClock() *timer.Service {
+	return &timer.Service{Confine: func(call func()) { confiner.Call(o.Log, "timer", call) }}
+}
+
 // newBudget returns the budget of one kind of buffers.
 func (o *Options) newBudget() *bufferer.Budget {
 	if o.MaxMemoryBytes <= 0 {
@@ -214,6 +220,7 @@
 				return
 			}
 			if v != http.ErrAbortHandler {
+				confiner.Count("request")
 				log.Error().Str("request", r.Header.Get(l.IDHeader)).Str("method", r.Method).Str("path", r.URL.Path).
 					Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler panicked")
 			}
@@ -227,7 +234,7 @@
 // runtime and the process, in the Prometheus format.
 func MetricsHandler(all []prometheus.Collector) http.Handler {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), confiner.Collector())
 	registry.MustRegister(all...)
 	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 }
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -24,10 +24,15 @@
 func (*BootClock) clock()   {}
 func (*ManualClock) clock() {}
 
-// Service calls subscribers at the times that they ask for. Set Clock before use; nil means
-// the host's clock. Its methods may be called concurrently.
+// Service calls subscribers at the times that they ask for. Set the exported fields before use. Its methods
+// may be called concurrently.
 type Service struct {
+	// Clock is the source of time. Nil: the host's clock.
 	Clock Clock
+	// Confine makes each call, so that a panic ends no more than that call: a subscriber of Every
+	// is called again after its interval. What a subscriber locks it must unlock by defer. Nil: a panic ends
+	// the process.
+	Confine func(call func())
 
 	mu    sync.Mutex
 	queue subscriptionHeap // guarded by mu
@@ -193,7 +198,11 @@
 			heap.Push(&s.queue, x)
 		}
 		s.mu.Unlock()
-		x.call()
+		if s.Confine == nil {
+			x.call()
+		} else {
+			s.Confine(x.call)
+		}
 	}
 }
 
--- a/internal/timer/timer_test.go
+++ b/internal/timer/timer_test.go
@@ -55,3 +55,30 @@
 		t.Errorf("Sleep returned %v, want context.Canceled", err)
 	}
 }
+
+// TestPanicEndsOneCall guards against a process that ends because one subscriber panics, and against one at
+// intervals that is not called any more after that.
+func TestPanicEndsOneCall(t *testing.T) {
+	panics := make(chan any, 100)
+	s := &Service{Confine: func(call func()) {
+		defer func() {
+			if v := recover(); v != nil {
+				panics <- v
+			}
+		}()
+		call()
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	called := make(chan struct{})
+	s.Once(0, func() { panic("once") })
+	stop := s.Every(time.Millisecond, func() { panic("every") })
+	defer stop()
+	go func() { _ = s.Run(ctx) }()
+	got := map[any]int{}
+	for got["once"] < 1 || got["every"] < 3 {
+		got[<-panics]++
+	}
+	s.Once(0, func() { close(called) })
+	<-called
+}
