Confine a panic of a task for one message to that task

Callers would see: a process that ends, with all its requests, because one reply of a control host, one loan, one probe or one question panics in a goroutine of its own.

Cause: only the goroutines of handlers recovered.

Change: the goroutines of package controller (requests to join, calls of the leader, proposals, searches), refresher, forwarder (loans ahead of need, probes) and quarantiner (checks) are confined, logged and counted. What others wait for is given also after a panic: a search gets no reply, a loan lends nothing, a probe has no result, a check can begin again. A control host whose reply panics is left for another.

--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -17,6 +17,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/resumer"
@@ -155,11 +156,13 @@
 // whenever that no longer holds.
 func (k *Cluster) joinLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		v := k.c.view.Load()
-		m := v.member(k.Self.Id)
-		if m == nil || !m.Voter || !v.leaderResponds {
-			k.requestJoin(ctx, v)
-		}
+		confiner.Call(k.c.Log, "join", func() {
+			v := k.c.view.Load()
+			m := v.member(k.Self.Id)
+			if m == nil || !m.Voter || !v.leaderResponds {
+				k.requestJoin(ctx, v)
+			}
+		})
 		_ = k.c.Timer.Sleep(ctx, joinRetryDelay+time.Duration(rand.Int64N(int64(joinRetryDelay))))
 	}
 }
@@ -170,24 +173,26 @@
 		if address == k.Self.Address {
 			continue
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			client, err := k.clusterClient(address)
-			if err != nil {
-				k.c.Log.Warn().Err(err).Str("address", address).Msg("cannot set up a connection to the control host")
-				return
-			}
-			reply, err := client.Knock(ctx, &schema.KnockRequest{Member: k.Self, First: k.FirstStart})
-			if err != nil {
-				k.c.Log.Debug().Err(err).Str("address", address).Msg("request to join failed")
-				return
-			}
-			k.addKnownAddresses(reply)
-		}()
+		go confiner.Call(k.c.Log, "join", func() { k.requestJoinAt(ctx, address) })
 	}
 }
 
+func (k *Cluster) requestJoinAt(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client, err := k.clusterClient(address)
+	if err != nil {
+		k.c.Log.Warn().Err(err).Str("address", address).Msg("cannot set up a connection to the control host")
+		return
+	}
+	reply, err := client.Knock(ctx, &schema.KnockRequest{Member: k.Self, First: k.FirstStart})
+	if err != nil {
+		k.c.Log.Debug().Err(err).Str("address", address).Msg("request to join failed")
+		return
+	}
+	k.addKnownAddresses(reply)
+}
+
 func (k *Cluster) addKnownAddresses(r *schema.KnockReply) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -262,20 +267,24 @@
 func (k *Cluster) consultLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		consultedAt := k.c.Timer.Now()
-		v := k.c.view.Load()
-		switch {
-		case v.holdsLease(consultedAt):
-			if report := k.demandReport(); report != nil {
-				k.Bucket.ApplyAllotment(k.Allocator.Allot(report), consultedAt)
-			}
-		case v.role != leaderRole && v.leaderAddress() != "":
-			k.consult(ctx, v.leaderAddress())
-		}
-		k.confirmApplied()
+		confiner.Call(k.c.Log, "consult", func() { k.consultOnce(ctx, consultedAt) })
 		k.waitToConsult(ctx, consultedAt)
 	}
 }
 
+func (k *Cluster) consultOnce(ctx context.Context, now time.Duration) {
+	v := k.c.view.Load()
+	switch {
+	case v.holdsLease(now):
+		if report := k.demandReport(); report != nil {
+			k.Bucket.ApplyAllotment(k.Allocator.Allot(report), now)
+		}
+	case v.role != leaderRole && v.leaderAddress() != "":
+		k.consult(ctx, v.leaderAddress())
+	}
+	k.confirmApplied()
+}
+
 func (k *Cluster) waitToConsult(ctx context.Context, consultedAt time.Duration) {
 	if delay := minConsultInterval - (k.c.Timer.Now() - consultedAt); delay > 0 {
 		_ = k.c.Timer.Sleep(ctx, delay)
--- a/internal/controller/panic_test.go
+++ b/internal/controller/panic_test.go
@@ -149,3 +149,17 @@
 		})
 	}
 }
+
+// TestPanicEndsOneQuestion guards against a control host that ends, or a search that never returns, because
+// asking another one panics.
+func TestPanicEndsOneQuestion(t *testing.T) {
+	c := newSingleController(t, nil)
+	k := &Cluster{c: c, Self: &schema.Member{Address: "127.0.0.1:1"}}
+	v := *c.view.Load()
+	v.members = &schema.Members{Members: []*schema.Member{{Id: 1, Address: "127.0.0.1:2"}, {Id: 2, Address: "127.0.0.1:3"}}}
+	c.view.Store(&v)
+	c.Dialer = nil // what is asked through it panics
+	if got := k.searchStream(t.Context(), &schema.FindStreamRequest{}); len(got) != 2 || got[0] != nil || got[1] != nil {
+		t.Errorf("replies %v, want none of two", got)
+	}
+}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -90,7 +91,7 @@
 	}
 	command.Operator = "leader"
 	command.Request = fmt.Sprintf("reconcile-%d-%d", term, snapshot.Version)
-	go c.proposeInBackground(command)
+	go confiner.Call(c.Log, "reconcile", func() { c.proposeInBackground(command) })
 }
 
 // proposeInBackground proposes a command and ignores its result: if the change is still
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -84,7 +85,11 @@
 	addresses := k.otherAddresses(k.c.view.Load())
 	results := make(chan *schema.FindStreamReply, len(addresses))
 	for _, address := range addresses {
-		go func() { results <- k.askForStream(ctx, address, question) }()
+		go func() {
+			var reply *schema.FindStreamReply
+			confiner.Call(k.c.Log, "stream", func() { reply = k.askForStream(ctx, address, question) })
+			results <- reply
+		}()
 	}
 	var replies []*schema.FindStreamReply
 	for range addresses {
--- a/internal/forwarder/breakage.go
+++ b/internal/forwarder/breakage.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -21,6 +22,8 @@
 // for, which may run another version.
 var errOtherProcess = errors.New("forwarder: another process may serve under the upstream's name")
 
+var errNotProbed = errors.New("forwarder: upstream not probed")
+
 // recordBreak records what the error of an attempt says about the upstream's process.
 func (f *Forwarder) recordBreak(ctx context.Context, r *Request, reservation *scheduler.Reservation, err error) {
 	refused := errors.Is(err, pooler.ErrRefused) || errors.Is(err, errMisdirected)
@@ -34,7 +37,7 @@
 		f.reportBreakage(reservation)
 	}
 	if probe {
-		go f.probe(reservation)
+		go confiner.Call(f.Log, "probe", func() { f.probe(reservation) })
 	}
 }
 
@@ -50,7 +53,8 @@
 func (f *Forwarder) probe(reservation *scheduler.Reservation) {
 	ctx, cancel := f.withDeadline(context.Background(), f.Timer.Now()+breakageProbeTimeout)
 	defer cancel()
-	err := f.Pool.Probe(ctx, reservation.Address)
+	err := errNotProbed // after a panic: without a result no other probe would be made
+	confiner.Call(f.Log, "probe", func() { err = f.Pool.Probe(ctx, reservation.Address) })
 	ended := reservation.Probed(errors.Is(err, pooler.ErrRefused), err == nil)
 	f.Log.Info().Err(err).Str("upstream", reservation.Name).Uint64("incarnation", reservation.Incarnation).Bool("ended", ended).Msg("upstream probed")
 	if ended {
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 )
 
 const (
@@ -43,7 +44,7 @@
 	}
 	r.chargedTokens = tokens
 	if maxTokens := f.Bucket.BeginBorrowAhead(r.customer.Name, tokens); maxTokens > 0 {
-		go f.borrowAhead(r.customer.Name, maxTokens)
+		go confiner.Call(f.Log, "borrow", func() { f.borrowAhead(r.customer.Name, maxTokens) })
 	}
 	return nil
 }
@@ -53,11 +54,12 @@
 func (f *Forwarder) borrowAhead(customer string, maxTokens float64) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	tokens, _, err := f.Borrow(ctx, customer, 0, maxTokens)
-	if err != nil {
+	tokens := 0.0
+	defer func() { f.Bucket.RecordLoanAhead(customer, tokens) }() // also after a panic, or none is borrowed ahead again
+	var err error
+	if tokens, _, err = f.Borrow(ctx, customer, 0, maxTokens); err != nil {
 		f.Log.Warn().Err(err).Str("customer", customer).Msg("borrowing tokens in advance failed")
 	}
-	f.Bucket.RecordLoanAhead(customer, tokens)
 }
 
 // borrow asks a control host once, or waits until it may be asked again. It returns an error
--- a/internal/forwarder/monitor.go
+++ b/internal/forwarder/monitor.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -88,7 +89,7 @@
 		unresponsive, probe := f.monitor.check(x.region, f.Timer.Now())
 		if probe {
 			f.Log.Warn().Str("region", x.region).Msg("region is unresponsive; probing it")
-			go f.probeRegion(x.region)
+			go confiner.Call(f.Log, "probe", func() { f.probeRegion(x.region) })
 		}
 		return unresponsive
 	})
--- a/internal/quarantiner/observer.go
+++ b/internal/quarantiner/observer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -177,7 +178,7 @@
 		}
 		l = &loss{at: o.Timer.Now()}
 		o.losses[u] = l
-		o.Timer.Once(checkDelays[0], func() { go o.check(u, 0, true) })
+		o.Timer.Once(checkDelays[0], func() { go o.confinedCheck(u, 0, true) })
 	}
 	for _, p := range parts {
 		if len(l.parts) < maxObservedParts && !slices.Contains(l.parts, p) {
@@ -186,6 +187,17 @@
 	}
 }
 
+// confinedCheck calls check. If that panics, the upstream is no longer being checked, so that its next loss
+// is.
+func (o *Observer) confinedCheck(u Upstream, attempt int, dial bool) {
+	if confiner.Call(o.Log, "check", func() { o.check(u, attempt, dial) }) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.losses, u)
+}
+
 // check finds out whether an upstream has ended, and checks again later while that is open. dial is
 // false once the upstream has accepted a connection: then only other sources can tell.
 func (o *Observer) check(u Upstream, attempt int, dial bool) {
@@ -199,21 +211,27 @@
 		dial = !accepted
 	}
 	if state == Running && !refused && attempt+1 < len(checkDelays) {
-		o.Timer.Once(checkDelays[attempt+1], func() { go o.check(u, attempt+1, dial) })
+		o.Timer.Once(checkDelays[attempt+1], func() { go o.confinedCheck(u, attempt+1, dial) })
 		return
 	}
+	ended := state == Ended || refused
+	l := o.endCheck(u, ended)
+	o.logCheck(u, l, state, refused)
+	if ended && o.OnEnd != nil {
+		o.OnEnd()
+	}
+}
+
+// endCheck ends the check of an upstream and returns what was lost there.
+func (o *Observer) endCheck(u Upstream, ended bool) *loss {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	l := o.losses[u]
 	delete(o.losses, u)
-	ended := state == Ended || refused
 	if ended {
 		o.storeEnd(u, l)
 	}
-	o.mu.Unlock()
-	o.logCheck(u, l, state, refused)
-	if ended && o.OnEnd != nil {
-		o.OnEnd()
-	}
+	return l
 }
 
 // storeEnd keeps an end for reports, the last maxObservedEnds. The caller holds mu.
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
@@ -97,7 +98,7 @@
 	defer stop()
 	for ctx.Err() == nil {
 		delay := r.reportDelay()
-		if err := r.refresh(ctx); err != nil {
+		if err := r.confinedRefresh(ctx); err != nil {
 			delay = retryDelay
 		} else if r.SelfReport().Ready != r.reportedReady {
 			delay = 0 // readiness changed meanwhile: others must receive it at once
@@ -149,6 +150,19 @@
 	return r.Timer.Now() - r.confirmedAt, r.confirmedAt > 0
 }
 
+// errPanicked means that a report could not be made, or its reply not applied.
+var errPanicked = errors.New("refresher: panicked")
+
+// confinedRefresh calls refresh. If that panics it abandons the control host, whose replies may go on to
+// have the same effect.
+func (r *Refresher) confinedRefresh(ctx context.Context) (err error) {
+	if !confiner.Call(r.Log, "refresh", func() { err = r.refresh(ctx) }) {
+		r.abandonControl(errPanicked)
+		return errPanicked
+	}
+	return err
+}
+
 // refresh sends a report to one control host and applies the reply. It abandons the control
 // host if that fails.
 func (r *Refresher) refresh(ctx context.Context) error {
--- a/internal/refresher/stream.go
+++ b/internal/refresher/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -37,7 +38,9 @@
 			return nil
 		}
 		sentAt = r.Timer.Now()
-		if err := r.sendStreams(ctx); err != nil && ctx.Err() == nil {
+		err := errPanicked
+		confiner.Call(r.Log, "streams", func() { err = r.sendStreams(ctx) })
+		if err != nil && ctx.Err() == nil {
 			r.Log.Warn().Err(err).Msg("streams not reported")
 			_ = r.Timer.Sleep(ctx, retryDelay)
 			r.SendStreams(true)
