Refuse reports whose age is negative or no number, and bound others

Callers would see: an upstream or an entry host that stays in use although it has long ended, after one report that dates it in the future; and an entry host that ends if a report that it refused is of a host that it does not have.

Cause: the table took the time of a report from its age as it came.

Change: a report, limit or host of an age below 0 or NaN is refused, longer ages count as 1,000 hours, more than any time that they are compared with. Sound senders compute ages from a clock that only rises.

--- a/internal/cataloger/breakage.go
+++ b/internal/cataloger/breakage.go
@@ -38,7 +38,7 @@
 	if age == nil || !(*age >= 0 && *age < DoubtTime.Seconds()) || u.report.Gone {
 		return false
 	}
-	at := t.Timer.Now() - time.Duration(*age*float64(time.Second))
+	at := t.Timer.Now() - ageOf(*age)
 	if u.broken && at-u.brokenAt < breakagePause {
 		return false
 	}
--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -123,8 +123,11 @@
 // storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. The
 // caller holds mu.
 func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
+	if !(a.Age >= 0) {
+		return false
+	}
 	now := t.Timer.Now()
-	reportedAt := now - time.Duration(a.Age*float64(time.Second))
+	reportedAt := now - ageOf(a.Age)
 	old := t.upstreams[a.Name]
 	if a.Gone && a.Incarnation == 0 && old != nil {
 		// The upstream does not say which of its processes ended: it is the known one.
@@ -178,6 +181,13 @@
 	return changed
 }
 
+// ageOf returns an age, in seconds, of at least 0. What is older than any time that the table compares it with is
+// as old as that.
+func ageOf(seconds float64) time.Duration {
+	const maxAge = 1000 * time.Hour
+	return time.Duration(min(seconds, maxAge.Seconds()) * float64(time.Second))
+}
+
 // newerUpstream reports whether report a is newer than b. Of the reports of one process, that
 // of its end is the newest.
 func newerUpstream(a, b *schema.Announcement) bool {
@@ -248,10 +258,10 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	old := t.hosts[p.Name]
-	if old != nil && !newerHost(p, old.report) {
+	if !(p.Age >= 0) || old != nil && !newerHost(p, old.report) {
 		return false
 	}
-	updated := &entryHost{report: p, reportedAt: now - time.Duration(p.Age*float64(time.Second)), controlAddress: controlAddress}
+	updated := &entryHost{report: p, reportedAt: now - ageOf(p.Age), controlAddress: controlAddress}
 	changed := old == nil || old.report.Incarnation != p.Incarnation || old.report.Ready != p.Ready || old.report.Stopping != p.Stopping || old.report.Listen != p.Listen
 	if changed {
 		t.revision++
--- a/internal/cataloger/follow.go
+++ b/internal/cataloger/follow.go
@@ -80,7 +80,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.hosts[p.Name]
-	if !whole || !p.Ready || old.report.Ready || old.report.Incarnation != p.Incarnation || !old.unconfirmed {
+	if old == nil || !whole || !p.Ready || old.report.Ready || old.report.Incarnation != p.Incarnation || !old.unconfirmed {
 		return false
 	}
 	t.markReady(old, true)
--- a/internal/cataloger/limit.go
+++ b/internal/cataloger/limit.go
@@ -32,7 +32,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[l.Upstream]
-	if u == nil || u.report.Incarnation != l.Incarnation || l.Rate < 0 || l.Age < 0 {
+	if u == nil || u.report.Incarnation != l.Incarnation {
 		return false
 	}
 	return t.storeLimit(u, l, direct)
@@ -40,8 +40,11 @@
 
 // storeLimit is StoreLimit for a known process. The caller holds mu.
 func (t *Table) storeLimit(u *upstream, l *schema.NamedLimit, direct bool) bool {
+	if !(l.Rate >= 0) || !(l.Age >= 0) {
+		return false
+	}
 	now := t.Timer.Now()
-	receivedAt := now - time.Duration(l.Age*float64(time.Second))
+	receivedAt := now - ageOf(l.Age)
 	old := u.limit
 	if old != nil && receivedAt <= old.receivedAt {
 		return false
