Report a log record with a huge index as damage

Cause: the place of an entry was computed as an int, and a negative one passed the comparison.

Evidence: FuzzRecord on the code before: seed of index 2^64-1, "slice bounds out of range [:-6]".

--- a/internal/persister/store.go
+++ b/internal/persister/store.go
@@ -171,8 +171,8 @@
 	if e.Index <= snapshotIndex {
 		return nil
 	}
-	position := int(e.Index - snapshotIndex - 1)
-	if position > len(stored.Entries) {
+	position := e.Index - snapshotIndex - 1
+	if position > uint64(len(stored.Entries)) {
 		return fmt.Errorf("%w: log entry %d follows entry %d", journaler.ErrDamaged, e.Index, snapshotIndex+uint64(len(stored.Entries)))
 	}
 	stored.Entries = append(stored.Entries[:position], e)
@@ -191,9 +191,9 @@
 		records = append(records, b)
 	}
 	for _, e := range entries {
-		b, err := proto.MarshalOptions{}.MarshalAppend([]byte{recordEntry}, e)
+		b, err := entryRecord(e)
 		if err != nil {
-			return fmt.Errorf("persister: encode log entry: %w", err)
+			return err
 		}
 		records = append(records, b)
 	}
@@ -203,6 +203,14 @@
 	return s.journal.Append(records...)
 }
 
+func entryRecord(e *schema.Entry) ([]byte, error) {
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{recordEntry}, e)
+	if err != nil {
+		return nil, fmt.Errorf("persister: encode log entry: %w", err)
+	}
+	return b, nil
+}
+
 // SaveSnapshot syncs a snapshot and drops the journal segments before it. The hard state
 // (nil: none) and the entries after the snapshot are first written to a new segment, since
 // the dropped segments held them too.
