Refuse items without the value that their path names

Evidence, on the code before: FuzzState panicked at a seed (rankHolders, nil host); FuzzCommand, seeds 8 and 9: the configuration after a restart lacks an item that the one before has.

Own programs send none of these, so that replicas of two versions decide alike.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -20,6 +20,9 @@
 	if s.document != nil && d.Number <= s.document.Number {
 		return nil, &schema.Result{Version: s.snapshot.Version}
 	}
+	if err := checkStated(d.Items, documentKinds); err != nil {
+		return nil, s.refuse(schema.Refusal_REFUSAL_INVALID, "document %d: %v", d.Number, err)
+	}
 	changed := diffKinds(s.snapshot, d.Items, documentKinds)
 	s.document = &schema.Document{Number: d.Number, Source: d.Source}
 	// The new number is stored even if no other item changed.
--- a/internal/configurer/sheet.go
+++ b/internal/configurer/sheet.go
@@ -26,6 +26,9 @@
 		return nil, s.refuse(schema.Refusal_REFUSAL_CONFLICT,
 			"sheet %d by %s differs from sheet %d already applied by %s", a.Number, c.Operator, last.Number, last.Operator)
 	}
+	if err := checkStated(a.Items, sheetKinds); err != nil {
+		return nil, s.refuse(schema.Refusal_REFUSAL_INVALID, "sheet %d: %v", a.Number, err)
+	}
 	changed := DiffSheet(s.snapshot, a.Items)
 	if refusal := s.checkRemovals(a, changed); refusal != nil {
 		return nil, refusal
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -96,14 +96,21 @@
 }
 
 // ApplyDelta returns the snapshot after a delta; s stays unchanged. After ErrDeltaMismatch
-// the caller needs the whole snapshot instead.
+// the caller needs the whole snapshot instead. After ErrInvalidItem that would not help.
 func (s *Snapshot) ApplyDelta(d *schema.Delta) (*Snapshot, error) {
 	if d.Version != s.Version+1 || !bytes.Equal(nextHash(s.Hash, d.Version, d.Items), d.Hash) {
 		return nil, fmt.Errorf("%w: delta of version %d, snapshot of version %d", ErrDeltaMismatch, d.Version, s.Version)
 	}
 	next := &Snapshot{Version: d.Version, Hash: d.Hash, items: maps.Clone(s.items)}
 	for _, it := range d.Items {
-		next.put(it)
+		if it.Removed {
+			delete(next.items, it.Path)
+			continue
+		}
+		if err := checkItem(it); err != nil {
+			return nil, err
+		}
+		next.items[it.Path] = it
 	}
 	return next, nil
 }
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -48,6 +48,9 @@
 	}
 	var items []*schema.Item
 	for _, it := range m.Items {
+		if err := checkItem(it); err != nil {
+			return nil, fmt.Errorf("configurer: cannot use the saved state: %w", err)
+		}
 		if c := it.GetChange(); c != nil {
 			s.history = append(s.history, c)
 			continue
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -126,7 +126,8 @@
 }
 
 // Replace puts a snapshot in force if it is newer than the configuration in force, and ignores
-// an older one. One of the same version with another hash gives ErrDiverged.
+// an older one. One of the same version with another hash gives ErrDiverged, one with an item that cannot be
+// used configurer.ErrInvalidItem.
 func (d *Distributor) Replace(next *configurer.Snapshot) error {
 	d.changeMu.Lock()
 	defer d.changeMu.Unlock()
@@ -137,6 +138,9 @@
 	if next.Version <= current.Version {
 		return nil
 	}
+	if err := next.Check(); err != nil {
+		return err
+	}
 	return d.install(next, nil)
 }
 
