Bound the answers and rejections that the load generator reads

Callers would see: a load that never ends and takes memory without bound because one host sends events, comments or a rejection without end.

Change: an answer ends after 16 MB and counts as cut, a rejection after 64 KB. An answer that comes byte by byte still takes as long as it takes: the load generator has no timeout.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -23,6 +24,9 @@
 	maxEventBytes      = 1 << 20
 	// Maximum size of a response's header.
 	maxHeaderBytes = 64 << 10
+	// Maximum sizes of an answer, and of a rejection, which are cut off there.
+	maxAnswerBytes    = 16 << 20
+	maxRejectionBytes = 64 << 10
 	// Largest number of tokens that is requested for an answer if Customer.Tokens is 0.
 	maxVariedTokens = 48
 )
@@ -106,7 +110,7 @@
 // Run sends the load until Duration has passed or ctx ends, waits for the answers, and returns what
 // callers saw, in the order of Customers.
 func (l *Loader) Run(ctx context.Context) []Result {
-	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	l.client = newClient()
 	l.stats = map[string]*customerStats{}
 	var wg sync.WaitGroup
 	startedAt := time.Now()
@@ -125,6 +129,10 @@
 	return results
 }
 
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(minHistogramMicros, maxHistogramMicros, histogramDigits)
 }
@@ -219,7 +227,7 @@
 			Code string `json:"code"`
 		} `json:"error"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil || b.Error.Code == "" {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRejectionBytes)).Decode(&b); err != nil || b.Error.Code == "" {
 		return fmt.Sprintf("status_%d", resp.StatusCode)
 	}
 	return b.Error.Code
@@ -227,7 +235,7 @@
 
 func readStream(resp *http.Response, dueAt time.Time) outcome {
 	o := outcome{code: "cut"}
-	lines := bufio.NewScanner(resp.Body)
+	lines := bufio.NewScanner(io.LimitReader(resp.Body, maxAnswerBytes))
 	lines.Buffer(nil, maxEventBytes)
 	lastAt := dueAt
 	for lines.Scan() {
