--- a/internal/starter/stop_test.go
+++ b/internal/starter/stop_test.go
@@ -1,7 +1,9 @@
 package starter
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +11,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // TestStopUnderLoad guards against requests that were just accepted and are cut off by a planned
@@ -113,3 +120,87 @@
 		t.Error(err)
 	}
 }
+
+// relayServer answers each relayed request after the work of one.
+type relayServer struct {
+	schema.UnimplementedRelayServiceServer
+	read atomic.Int64
+}
+
+func (s *relayServer) Relay(_ *schema.RelayRequest, stream grpc.ServerStreamingServer[schema.RelayReply]) error {
+	s.read.Add(1)
+	if err := stream.Send(&schema.RelayReply{}); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Millisecond)
+	return stream.Send(&schema.RelayReply{})
+}
+
+// TestRelaysOutlastStop guards against relayed requests that were taken and are cut off by a planned stop: under load
+// each must have its whole answer.
+func TestRelaysOutlastStop(t *testing.T) {
+	for range 5 {
+		h := &relayServer{}
+		s, err := dialer.NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		schema.RegisterRelayServiceServer(s, h)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Serve(l) }()
+		clock := &timer.Service{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = clock.Run(ctx) }()
+		ended := make(chan struct{})
+		var answered atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 16 {
+			wg.Go(func() {
+				d := &dialer.Dialer{Secret: "secret", Timer: clock}
+				defer func() { d.Close() }()
+				for {
+					select {
+					case <-ended:
+						return
+					default:
+					}
+					if i%2 == 0 { // a new connection for each request
+						d.Close()
+						d = &dialer.Dialer{Secret: "secret", Timer: clock}
+					}
+					conn, err := d.Conn(l.Addr().String())
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, &schema.RelayRequest{})
+					if err != nil {
+						continue
+					}
+					replies := 0
+					for err == nil {
+						if _, err = stream.Recv(); err == nil {
+							replies++
+						}
+					}
+					if err == io.EOF && replies == 2 {
+						answered.Add(1)
+					}
+				}
+			})
+		}
+		for h.read.Load() < 200 {
+			time.Sleep(time.Millisecond)
+		}
+		stopGRPC(s, shutdownTimeout, clock)
+		close(ended)
+		wg.Wait()
+		cancel()
+		if h.read.Load() != answered.Load() {
+			t.Errorf("%d relayed requests were taken, %d have their whole answer", h.read.Load(), answered.Load())
+		}
+	}
+}
