--- a/test/key_test.go
+++ b/test/key_test.go
@@ -86,3 +86,39 @@
 	})
 	s.waitUntilKeyRefused(key, allRegions)
 }
+
+// TestWithdrawalOutlivesRestarts guards against a withdrawn key that works again after one host, or all control hosts
+// at once, started again: they read the withdrawal from disk, or learn it from the others.
+func TestWithdrawalOutlivesRestarts(t *testing.T) {
+	s := newSystem(t)
+	s.applySheet()
+	key, otherKey := s.issueKey("st-giles"), s.issueKey("st-giles")
+	allRegions := []string{"lothian", "clyde", "grampian"}
+	for _, region := range allRegions {
+		for _, offset := range []int{0, 2} {
+			s.waitUntilServing(s.address(region, offset), key)
+		}
+	}
+	s.mustCtl("key", "withdraw", strings.Split(key, "_")[1])
+	s.waitUntilKeyRefused(key, allRegions)
+	for _, names := range [][]string{{"control-lothian"}, {"clyde-1"}, {"control-lothian", "control-clyde", "control-grampian"}, {"lothian-1", "lothian-2"}} {
+		for _, name := range names {
+			s.kill(name)
+		}
+		for _, name := range names {
+			s.start(name)
+		}
+		// The key must be refused from the first answer on, not only in the end.
+		for _, region := range allRegions {
+			for _, offset := range []int{0, 2} {
+				host := s.address(region, offset)
+				s.eventually("the customer's other key is accepted by "+host, func() bool {
+					if a := s.chat(host, key, "x", false); a.status == http.StatusOK {
+						t.Fatalf("%s accepts the withdrawn key after a restart of %v", host, names)
+					}
+					return s.chat(host, otherKey, "x", false).status == http.StatusOK
+				})
+			}
+		}
+	}
+}
