--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -69,12 +70,15 @@
 // reconcile proposes the next change that the leader finds necessary: to activate joining
 // hosts, or to replace a holder of records.
 func (c *Controller) reconcile() {
-	c.mu.Lock()
-	c.advanceClock()
-	role, term, _ := c.replica.Status()
-	leads := role == replicator.Leader && c.replica.RemainingLeaseTicks() > 0 && c.caughtUp && len(c.unapplied) == 0
-	snapshot := c.state.Snapshot()
-	c.mu.Unlock()
+	leads := false
+	var term uint64
+	var snapshot *configurer.Snapshot
+	c.step(func(r *replicator.Replica) {
+		var role replicator.Role
+		role, term, _ = r.Status()
+		leads = role == replicator.Leader && r.RemainingLeaseTicks() > 0 && c.caughtUp && len(c.unapplied) == 0
+		snapshot = c.state.Snapshot()
+	})
 	if !leads {
 		return
 	}
@@ -87,7 +91,7 @@
 	}
 	command.Operator = "leader"
 	command.Request = fmt.Sprintf("reconcile-%d-%d", term, snapshot.Version)
-	go c.proposeInBackground(command)
+	go confiner.Call(c.Log, "reconcile", func() { c.proposeInBackground(command) })
 }
 
 // proposeInBackground proposes a command and ignores its result: if the change is still
