timer: convert seconds to durations in one place, with bounds

Seen by callers: an upstream that says that it is cold for 9.3e9 s or more got requests as if it were warm. By reading only: a route with such a timeout expires each request at once, and elsewhere the result depends on the processor, as the conversion of a number out of range gives the lowest duration on x86-64 and the closest on arm64; sums with the time of the clock wrap.

Cause: some 25 conversions of seconds from other hosts, heartbeats and the configuration, each on its own and without bounds.

timer.Seconds stops at 1e8 s (three years) either side, so that sums and 64 times the bound are in range, and returns 0 for NaN.

TestColdForAges before: "cold for 9.3e+09 s: cold until 0s, now 1h0m0s", the same for 1e297 and infinity; passes now.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -229,7 +230,7 @@
 	if rate <= 0 {
 		return maxRetryDelay
 	}
-	return min(maxRetryDelay, time.Duration(missing/rate*float64(time.Second)))
+	return min(maxRetryDelay, timer.Seconds(missing/rate))
 }
 
 // Refund returns the tokens of a request that did not run to the customer's level.
--- a/internal/cataloger/breakage.go
+++ b/internal/cataloger/breakage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -38,7 +39,7 @@
 	if age == nil || !(*age >= 0 && *age < DoubtTime.Seconds()) || u.report.Gone {
 		return false
 	}
-	at := t.Timer.Now() - time.Duration(*age*float64(time.Second))
+	at := t.Timer.Now() - timer.Seconds(*age)
 	if u.broken && at-u.brokenAt < breakagePause {
 		return false
 	}
--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -131,7 +131,7 @@
 // caller holds mu.
 func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
 	now := t.Timer.Now()
-	reportedAt := now - time.Duration(a.Age*float64(time.Second))
+	reportedAt := now - timer.Seconds(a.Age)
 	old := t.upstreams[a.Name]
 	if a.Gone && a.Incarnation == 0 && old != nil {
 		// The upstream does not say which of its processes ended: it is the known one.
@@ -265,7 +265,7 @@
 	if old != nil && !newerHost(p, old.report) {
 		return false
 	}
-	updated := &entryHost{report: p, reportedAt: now - time.Duration(p.Age*float64(time.Second)), controlAddress: controlAddress}
+	updated := &entryHost{report: p, reportedAt: now - timer.Seconds(p.Age), controlAddress: controlAddress}
 	changed := old == nil || old.report.Incarnation != p.Incarnation || old.report.Ready != p.Ready || old.report.Stopping != p.Stopping || old.report.Listen != p.Listen
 	if changed {
 		t.revision++
--- a/internal/cataloger/leaving.go
+++ b/internal/cataloger/leaving.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // LeavingMargin is the time before the end of DrainTime from which an upstream that is leaving gets no
@@ -51,7 +52,7 @@
 	}
 	// Seconds are rounded on each way: the time must not become later.
 	const rounding = time.Microsecond
-	return leavingTime{now - time.Duration(*a.Since*float64(time.Second)) - rounding, a.Claim}
+	return leavingTime{now - timer.Seconds(*a.Since) - rounding, a.Claim}
 }
 
 // leavingSince returns the time for an upstream's own report that it is leaving. Unless the table is
@@ -158,7 +159,7 @@
 	}
 	now := t.Timer.Now()
 	u.saidAt = now
-	said := leavingTime{now - time.Duration(l.Age*float64(time.Second)), rand.Uint64() | 1}
+	said := leavingTime{now - timer.Seconds(l.Age), rand.Uint64() | 1}
 	if u.report.Leaving {
 		return false // the first acknowledgement or answer counts, and is known
 	}
--- a/internal/cataloger/limit.go
+++ b/internal/cataloger/limit.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -41,7 +42,7 @@
 // storeLimit is StoreLimit for a known process. The caller holds mu.
 func (t *Table) storeLimit(u *upstream, l *schema.NamedLimit, direct bool) bool {
 	now := t.Timer.Now()
-	receivedAt := now - time.Duration(l.Age*float64(time.Second))
+	receivedAt := now - timer.Seconds(l.Age)
 	old := u.limit
 	if old != nil && receivedAt <= old.receivedAt {
 		return false
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -368,7 +369,7 @@
 	if !reply.Leader {
 		return 0, 0, ErrNotReady
 	}
-	return reply.Tokens, time.Duration(reply.Retry * float64(time.Second)), nil
+	return reply.Tokens, timer.Seconds(reply.Retry), nil
 }
 
 // setLeaderLost logs when the leader is lost or regained.
@@ -390,7 +391,7 @@
 		cataloger.AddDelay(a, transit)
 	}
 	needsWhole := k.Table.Follow(cataloger.Reply{
-		Upstreams: r.Upstreams, Hosts: r.Peers, Whole: r.Process != k.process, Observed: time.Duration(r.Observed * float64(time.Second)), From: leader,
+		Upstreams: r.Upstreams, Hosts: r.Peers, Whole: r.Process != k.process, Observed: timer.Seconds(r.Observed), From: leader,
 	}, nil, nil)
 	for _, part := range k.findings.Apply(r.Findings, r.Process) {
 		k.logQuarantine(part, leader)
--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // HashExternalKey returns the hash under which an API key that was chosen outside the system is
@@ -94,4 +96,4 @@
 	return r
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return timer.Seconds(s) }
--- a/internal/limiter/run.go
+++ b/internal/limiter/run.go
@@ -133,7 +133,7 @@
 		}
 	}
 	// Requests ahead in the queue get their tokens first, at the customer's rate at best.
-	if wait := time.Duration(tokensAhead / max(limits.Rate, 1) * float64(time.Second)); wait > maxWait {
+	if wait := timer.Seconds(tokensAhead / max(limits.Rate, 1)); wait > maxWait {
 		return nil, &OverRateError{RetryAfter: wait}
 	}
 	select {
@@ -220,7 +220,7 @@
 	case reply.Retry < 0:
 		return maxWait, false
 	}
-	return max(minRetryDelay, time.Duration(reply.Retry*float64(time.Second))), false
+	return max(minRetryDelay, timer.Seconds(reply.Retry)), false
 }
 
 // Settle charges the tokens that a request really used and returns the number of them beyond
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -76,7 +77,7 @@
 	now := e.Now()
 	var unknown []*schema.UpstreamEnd
 	for _, m := range f.GetEnds() {
-		age := seconds(m.Age)
+		age := timer.Seconds(m.Age)
 		if age < 0 || age > maxEndAge || len(m.Upstream) > maxNameLength {
 			continue
 		}
@@ -85,15 +86,13 @@
 		}
 	}
 	for _, m := range f.GetSurvivals() {
-		if age := seconds(m.Age); age >= 0 && age <= evidenceTime {
+		if age := timer.Seconds(m.Age); age >= 0 && age <= evidenceTime {
 			e.storeSurvival(m.Part, now-age)
 		}
 	}
 	return unknown
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // storeEnd merges one end and reports whether it was not known. The caller holds mu.
 func (e *Evidence) storeEnd(m *schema.UpstreamEnd, at time.Duration) bool {
 	if e.ends == nil {
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -113,7 +114,7 @@
 	now := g.Now()
 	var changed []uint64
 	for _, m := range list {
-		until := now + time.Duration(min(m.Left, QuarantineTime.Seconds())*float64(time.Second))
+		until := now + timer.Seconds(min(m.Left, QuarantineTime.Seconds()))
 		old, known := g.entries[m.Part]
 		if now-until > probationTime || known && old.number >= m.Number {
 			continue
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -267,7 +267,7 @@
 		cataloger.AddDelay(a, transit)
 	}
 	needsWhole := r.Table.Follow(cataloger.Reply{
-		Upstreams: reply.Upstreams, Hosts: reply.Peers, Whole: reply.Whole, Observed: time.Duration(reply.Observed * float64(time.Second)), From: r.controlAddress,
+		Upstreams: reply.Upstreams, Hosts: reply.Peers, Whole: reply.Whole, Observed: timer.Seconds(reply.Observed), From: r.controlAddress,
 	}, func(a *schema.Announcement) {
 		r.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("software", a.Software).Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
 			Float64("age", a.Age).Bool("leaving", a.Leaving).Float64("since", a.GetSince()).Bool("dated", a.Since != nil).Bool("gone", a.Gone).Bool("silent", a.Silent).Float64("broken", a.GetBroken()).Float64("cold", a.Cold).
@@ -332,7 +332,7 @@
 	if !reply.Leader {
 		return 0, 0, ErrNoLender
 	}
-	return reply.Tokens, time.Duration(reply.Retry * float64(time.Second)), nil
+	return reply.Tokens, timer.Seconds(reply.Retry), nil
 }
 
 // nearestControls returns the control host that replied last and the next in order of preference.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -43,7 +43,7 @@
 // newer than the one stored for the upstream, by incarnation and then by number; one that is
 // not is ignored.
 func (r *Registrar) Register(a *schema.Announcement) bool {
-	lease := time.Duration(a.Lease * float64(time.Second))
+	lease := timer.Seconds(a.Lease)
 	if lease <= 0 || lease > maxLease {
 		lease = defaultLease
 	}
--- a/internal/resumer/finder.go
+++ b/internal/resumer/finder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // History is what a control host has observed of the versions of upstreams' software.
@@ -40,7 +41,7 @@
 		reply.Doubtful = h.Doubtful(o.Pool, o.Software)
 		return reply
 	}
-	versions, observed := h.Versions(r.Pool, seconds(r.Within))
+	versions, observed := h.Versions(r.Pool, timer.Seconds(r.Within))
 	reply.Versions, reply.Observed = versions, observed.Seconds()
 	return reply
 }
@@ -71,5 +72,3 @@
 	}
 	return reply
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/resumer/index.go
+++ b/internal/resumer/index.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -135,7 +136,7 @@
 // Store adds the streams that another host reports.
 func (x *Index) Store(list []*schema.StreamOrigin) {
 	for _, m := range list {
-		age := time.Duration(m.Age * float64(time.Second))
+		age := timer.Seconds(m.Age)
 		if inRange := m.Age >= 0 && m.Age <= RetainTime.Seconds(); !inRange || len(m.Pool) > maxNameLength || len(m.Software) > maxNameLength {
 			continue
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -260,7 +260,7 @@
 // beyond this host's own at that time, discounted by the age of the figures. The caller holds
 // mu.
 func (r *Router) otherHostsLoad(u *registrar.Upstream, now time.Duration) float64 {
-	age := now - u.ReceivedAt + time.Duration(u.Age*float64(time.Second))
+	age := now - u.ReceivedAt + timer.Seconds(u.Age)
 	weight := math.Exp2(-max(0, age-freshReportAge).Seconds() / reportHalfLife.Seconds())
 	return weight * math.Max(0, float64(int(u.Running+u.Waiting)-r.stateOf(u).outstandingAtReport))
 }
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -82,7 +83,7 @@
 	now := s.Timer.Now()
 	for _, m := range limits {
 		u := s.upstreams[m.Upstream]
-		receivedAt := now - time.Duration(m.Age*float64(time.Second))
+		receivedAt := now - timer.Seconds(m.Age)
 		if u == nil || u.announcement.Incarnation != m.Incarnation || receivedAt <= u.limit.receivedAt {
 			continue
 		}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // candidates returns the upstreams that may take w, from the first of these groups that is
@@ -241,7 +242,7 @@
 }
 
 func readTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / readTokensPerSecond * float64(time.Second))
+	return timer.Seconds(float64(tokens) / readTokensPerSecond)
 }
 
 // SharedReadRatio returns the time in which an engine reads the shared parts of the prompt,
--- /dev/null
+++ b/internal/scheduler/range_test.go
@@ -0,0 +1,20 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+)
+
+// TestColdForAges guards against an upstream that counts as warm since its cold time is out of the range of
+// a duration.
+func TestColdForAges(t *testing.T) {
+	for _, cold := range []float64{5, 1e8, 9.3e9, 1e297, math.Inf(1)} {
+		s := newScheduler(&schema.Announcement{Name: "e0", Pool: "engine", Slots: 16, Incarnation: 1, Cold: cold})
+		if u := s.upstreams["e0"]; u.coldUntil < s.Timer.Now()+5*time.Second {
+			t.Errorf("cold for %v s: cold until %v, now %v", cold, u.coldUntil, s.Timer.Now())
+		}
+	}
+}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -174,7 +175,7 @@
 		}
 		if u.announcement != a {
 			if a.Cold > 0 {
-				u.coldUntil = max(u.coldUntil, now+time.Duration((a.Cold-a.Age)*float64(time.Second)))
+				u.coldUntil = max(u.coldUntil, now+timer.Seconds(a.Cold-a.Age))
 			}
 			if u.announcement != nil && u.announcement.Silent && !a.Silent {
 				u.bannedUntil, u.failureStreak = 0, 0
@@ -229,7 +230,7 @@
 }
 
 func (s *Scheduler) warmupDuration(u *upstream) time.Duration {
-	return time.Duration(s.Config().Pool(u.announcement.Pool).GetWarmup() * float64(time.Second))
+	return timer.Seconds(s.Config().Pool(u.announcement.Pool).GetWarmup())
 }
 
 // UpdateOtherLoads replaces the load of the other hosts and refills the slot quotas.
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // acceptsOperatorToken reports whether a method may be called with an operator's token instead of
@@ -70,7 +70,7 @@
 		return status.Error(codes.NotFound, "customer is unknown here")
 	}
 	stream = &numberedReplies{ServerStreamingServer: stream}
-	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(r.Left*float64(time.Second)))
+	ctx, cancel := context.WithTimeout(stream.Context(), timer.Seconds(r.Left))
 	defer cancel()
 	if !strings.HasPrefix(r.Path, "/v1/") {
 		return s.serveForwardedServiceCall(ctx, r, customer, stream)
