scheduler: bound the owners of a limit before they are whole numbers

A named limit above the range of an int gave one host that may send on x86-64, where the conversion returns the lowest int, and all of them on arm64. The number of hosts is now the bound before the conversion. The catalog's own check of a limit also refuses NaN, which made an upstream get no request at all, and covers limits within announcements, which it did not.

TestLargeLimit passes on arm64 with and without the change; it was not run on x86-64, where the old code would return 1 instead of 7. By reading only: the limit is parsed from an answer's header, which bounds it today.

--- a/internal/cataloger/limit.go
+++ b/internal/cataloger/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -33,7 +34,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[l.Upstream]
-	if u == nil || u.report.Incarnation != l.Incarnation || l.Rate < 0 || l.Age < 0 {
+	if u == nil || u.report.Incarnation != l.Incarnation {
 		return false
 	}
 	return t.storeLimit(u, l, direct)
@@ -41,6 +42,9 @@
 
 // storeLimit is StoreLimit for a known process. The caller holds mu.
 func (t *Table) storeLimit(u *upstream, l *schema.NamedLimit, direct bool) bool {
+	if inRange := l.Rate >= 0 && l.Rate <= math.MaxFloat64 && l.Age >= 0; !inRange { // NaN is in no range
+		return false
+	}
 	now := t.Timer.Now()
 	receivedAt := now - timer.Seconds(l.Age)
 	old := u.limit
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -173,7 +173,7 @@
 }
 
 // baseOwners returns the number of hosts that may send while answers come.
-func (l *limitState) baseOwners() int { return max(1, min(l.hosts, int(l.rate))) }
+func (l *limitState) baseOwners() int { return max(1, int(min(float64(l.hosts), l.rate))) }
 
 // needsCheck reports whether the upstream's limit was named so long ago that the next request should
 // find out whether it still is.
--- a/internal/scheduler/range_test.go
+++ b/internal/scheduler/range_test.go
@@ -18,3 +18,14 @@
 		}
 	}
 }
+
+// TestLargeLimit guards against a named limit whose number of hosts that may send differs with the
+// processor.
+func TestLargeLimit(t *testing.T) {
+	for rate, want := range map[float64]int{0.5: 1, 3.9: 3, 7: 7, 1e9: 7, 1e19: 7, 1e300: 7, math.Inf(1): 7} {
+		l := &limitState{rate: rate, hosts: 7}
+		if got := l.baseOwners(); got != want {
+			t.Errorf("limit of %v a second: %d of 7 hosts may send, want %d", rate, got, want)
+		}
+	}
+}
