cataloger: survive a name that cannot be sent between hosts

Seen by callers: after one heartbeat to POST /Instances.Heartbeat/%FF, hosts stop following the list of upstreams and each other; entry hosts refuse requests once their configuration is no longer confirmed.

Cause: the id comes from the path, percent-decoded, and was stored without a check. protobuf refuses to encode text that is not UTF-8, so every Consult of the control host that got it, every one of the leader's replies and every reply to an entry host failed as a whole, again and again until the entry was forgotten 90 s after its last report. Ids and services of any length were stored as well and are part of each whole reply.

The table skips a report of another host that cannot be used, before anything of it is stored, logs one line a second at most and counts (trefoil_unusable_reports_total), so that what an earlier version stored stops no host of this one.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -41,6 +41,9 @@
 	DrainTime time.Duration
 	// Settled reports whether what other hosts acknowledged to upstreams is in this table. Nil: never.
 	Settled func() bool
+	// OnUnusable is called for each report that is not stored as a field of it is out of range. It must not
+	// call the table, and must return soon. Nil: not called.
+	OnUnusable func(*schema.Announcement, *FieldError)
 	// IsMirror is set if all reports come from another table, which marks what no longer reports.
 	IsMirror bool
 	// IsFirst is set if no upstream served before the table was started, as the system had not started.
@@ -130,6 +133,9 @@
 // storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. The
 // caller holds mu.
 func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
+	if !t.usable(a) {
+		return false
+	}
 	now := t.Timer.Now()
 	reportedAt := now - timer.Seconds(a.Age)
 	old := t.upstreams[a.Name]
@@ -185,6 +191,15 @@
 	return changed
 }
 
+// usable reports whether hosts can use a report.
+func (t *Table) usable(a *schema.Announcement) bool {
+	err := CheckReport(a)
+	if err != nil && t.OnUnusable != nil {
+		t.OnUnusable(a, err)
+	}
+	return err == nil
+}
+
 // newerUpstream reports whether report a is newer than b. Of the reports of one process, that
 // of its end is the newest.
 func newerUpstream(a, b *schema.Announcement) bool {
--- a/internal/cataloger/follow.go
+++ b/internal/cataloger/follow.go
@@ -64,6 +64,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	name, incarnation, number := a.Name, a.Incarnation, a.Number
+	if !t.usable(a) {
+		return false
+	}
 	changed := t.storeUpstream(a, false, &silent)
 	u := t.upstreams[name]
 	if u == nil || u.report.Incarnation != incarnation || u.report.Silent == silent || (number < u.report.Number && !whole) {
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
@@ -42,6 +43,13 @@
 	Requests *bufferer.Budget
 
 	controller *controller.Controller
+	unusable   *unusableReports
+}
+
+// Collectors returns the process's metrics, to be added to a registry. It must be called by Listeners or
+// later.
+func (c *Control) Collectors() []prometheus.Collector {
+	return slices.Concat(c.controller.Collectors(), BufferCollectors("requests", c.Requests), []prometheus.Collector{c.unusable.counter})
 }
 
 // Run serves until ctx ends or a component fails.
@@ -72,6 +80,8 @@
 // and those that start with it.
 func (c *Control) newCluster(clock *timer.Service, first bool) *controller.Cluster {
 	table := &cataloger.Table{Timer: clock, AnnounceInterval: c.AnnounceInterval, DrainTime: c.DrainTime, IsFirst: first}
+	c.unusable = newUnusableReports(clock, c.Log)
+	table.OnUnusable = c.unusable.record
 	table.Start()
 	s := c.Settings
 	limits := func(customer string) (allocator.Limits, bool) {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -71,6 +71,7 @@
 	Table     *cataloger.Table
 	// Requests bounds the memory for the bodies of callers' requests.
 	Requests    *bufferer.Budget
+	unusable    *unusableReports
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
@@ -93,6 +94,8 @@
 	e.incarnation = uint64(time.Now().UnixNano())
 	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer}
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
+	e.unusable = newUnusableReports(e.Timer, e.Log)
+	e.Table.OnUnusable = e.unusable.record
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
@@ -209,7 +212,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests))
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter})
 }
 
 // Stopping reports whether the process is shutting down.
