--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -49,7 +49,7 @@
 		}
 		for _, p := range d.Routes {
 			if p.Name == r.pool && p.Slots > 0 {
-				all = append(all, regionLoad{d.Region, float64(p.Running+p.Waiting) / float64(p.Slots), float64(p.Slots)})
+				all = append(all, regionLoad{d.Region, (float64(p.Running) + float64(p.Waiting)) / float64(p.Slots), float64(p.Slots)})
 			}
 		}
 	}
