server: refuse announcements with a port or number out of range

The older interface took any address and any number, also NaN and Infinity, which protojson reads from text: slots, running and waiting requests were summed as int32, a lease or an age out of range was converted to a duration that differs with the processor. It now makes the same checks as the catalog, for what upstreams announce and for what other hosts of the region pass on.

--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/authenticator"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -129,6 +130,8 @@
 		problem = "kind is missing"
 	case a.Address == "":
 		problem = "address is empty"
+	case cataloger.CheckReport(a) != nil:
+		problem = cataloger.CheckReport(a).Error()
 	case a.Region != region:
 		problem = "region is not " + region
 	case a.Slots <= 0:
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -48,7 +48,7 @@
 
 // Announce stores an upstream's announcement that another host of the region received.
 func (x *EntryService) Announce(_ context.Context, a *schema.Announcement) (*schema.Empty, error) {
-	if a.Region == x.Server.Settings.Region {
+	if checkAnnouncement(a, x.Server.Settings.Region) == nil {
 		x.Server.registrar.Register(a)
 	}
 	return &schema.Empty{}, nil
