cataloger: test that a followed table survives an unknown owner

On the code before the test ends with a nil pointer in claimAddress, called by Table.Follow: the goroutines of entry and control hosts that call it recover no panic, so that their processes would have ended.

--- a/internal/cataloger/address_test.go
+++ b/internal/cataloger/address_test.go
@@ -35,3 +35,19 @@
 		t.Errorf("-want +got\n%s", diff)
 	}
 }
+
+// TestFollowedAddressOfForgottenUpstream guards against the same in an entry host's table, where nothing
+// recovers a panic.
+func TestFollowedAddressOfForgottenUpstream(t *testing.T) {
+	x := newTable(t)
+	x.IsMirror = true
+	follow := func(a *schema.Announcement) { x.Follow(Reply{Upstreams: []*schema.Announcement{a}}, nil, nil) }
+	follow(newReport("a", 10, 1, "a:1"))
+	follow(&schema.Announcement{Name: "a", Gone: true, Leaving: true, Incarnation: 11})
+	x.Timer.Advance(2 * forgetTimeout)
+	x.Sweep(false)
+	follow(newReport("b", 5, 1, "a:1"))
+	if diff := cmp.Diff([]string{"b"}, upstreamNames(x.Upstreams())); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+}
