--- a/internal/cataloger/check.go
+++ b/internal/cataloger/check.go
@@ -86,5 +86,10 @@
 		return true
 	}
 	ip, err := netip.ParseAddr(host)
-	return err == nil && (ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "")
+	if err != nil {
+		return false
+	}
+	zoned := ip.Zone() != ""
+	ip = ip.Unmap()
+	return zoned || ip.IsUnspecified() || ip.IsMulticast()
 }
