--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -40,6 +41,9 @@
 	DrainTime time.Duration
 	// Settled reports whether what other hosts acknowledged to upstreams is in this table. Nil: never.
 	Settled func() bool
+	// OnUnusable is called for each report that is not stored as a field of it is out of range. It must not
+	// call the table, and must return soon. Nil: not called.
+	OnUnusable func(*schema.Announcement, *FieldError)
 	// IsMirror is set if all reports come from another table, which marks what no longer reports.
 	IsMirror bool
 	// IsFirst is set if no upstream served before the table was started, as the system had not started.
@@ -52,11 +56,11 @@
 	revision      uint64               // rises with each change; guarded by mu
 	upstreams     map[string]*upstream // by name; guarded by mu
 	startedAt     time.Duration
-	follow        followState           // guarded by mu
-	partialAt     time.Duration         // last time at which this host was found not to lead; guarded by mu
-	versions      versionHistory        // guarded by mu
-	addressOwners map[string]string     // address → name of the upstream that started last there; guarded by mu
-	hosts         map[string]*entryHost // by name; guarded by mu
+	follow        followState             // guarded by mu
+	partialAt     time.Duration           // last time at which this host was found not to lead; guarded by mu
+	versions      versionHistory          // guarded by mu
+	addressOwners map[string]addressOwner // the upstreams that started last at each address; guarded by mu
+	hosts         map[string]*entryHost   // by name; guarded by mu
 	// controlLoads holds the loads that other control hosts sent, by their address; guarded by mu
 	controlLoads map[string]controlLoad
 	regionTotals map[string]*regionTotal // by region; guarded by mu
@@ -65,6 +69,12 @@
 	digestsAt time.Duration
 }
 
+// addressOwner is the process of an upstream that started last at an address.
+type addressOwner struct {
+	name        string
+	incarnation uint64
+}
+
 // upstream is the newest report of an upstream.
 type upstream struct {
 	report     *schema.Announcement
@@ -107,7 +117,7 @@
 	t.startedAt = t.Timer.Now()
 	t.versions = versionHistory{}
 	t.upstreams = map[string]*upstream{}
-	t.addressOwners = map[string]string{}
+	t.addressOwners = map[string]addressOwner{}
 	t.hosts = map[string]*entryHost{}
 }
 
@@ -123,11 +133,11 @@
 // storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. The
 // caller holds mu.
 func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
-	if !(a.Age >= 0) {
+	if !t.usable(a) {
 		return false
 	}
 	now := t.Timer.Now()
-	reportedAt := now - ageOf(a.Age)
+	reportedAt := now - timer.Seconds(a.Age)
 	old := t.upstreams[a.Name]
 	if a.Gone && a.Incarnation == 0 && old != nil {
 		// The upstream does not say which of its processes ended: it is the known one.
@@ -181,11 +191,13 @@
 	return changed
 }
 
-// ageOf returns an age, in seconds, of at least 0. What is older than any time that the table compares it with is
-// as old as that.
-func ageOf(seconds float64) time.Duration {
-	const maxAge = 1000 * time.Hour
-	return time.Duration(min(seconds, maxAge.Seconds()) * float64(time.Second))
+// usable reports whether hosts can use a report.
+func (t *Table) usable(a *schema.Announcement) bool {
+	err := CheckReport(a)
+	if err != nil && t.OnUnusable != nil {
+		t.OnUnusable(a, err)
+	}
+	return err == nil
 }
 
 // newerUpstream reports whether report a is newer than b. Of the reports of one process, that
@@ -219,26 +231,33 @@
 	if a.Address == "" {
 		return true
 	}
-	name, owned := t.addressOwners[a.Address]
-	if owned && name != a.Name {
-		other := t.upstreams[name]
-		if other.report.Incarnation > a.Incarnation {
+	owner, owned := t.addressOwners[a.Address]
+	if owned && owner.name != a.Name {
+		if owner.incarnation > a.Incarnation {
 			return false
 		}
-		if !other.report.Gone {
+		// The owner may have reported since then without an address, or from another one.
+		other := t.upstreams[owner.name]
+		if other != nil && other.report.Address == a.Address && !other.report.Gone {
 			ended := proto.Clone(other.report).(*schema.Announcement)
 			ended.Gone = true
 			t.revision++
 			other.report, other.revision = ended, t.revision
 		}
 	}
-	if old := t.upstreams[a.Name]; old != nil && old.report.Address != a.Address && t.addressOwners[old.report.Address] == a.Name {
-		delete(t.addressOwners, old.report.Address)
+	if old := t.upstreams[a.Name]; old != nil && old.report.Address != a.Address {
+		t.releaseAddress(a.Name, old.report.Address)
 	}
-	t.addressOwners[a.Address] = a.Name
+	t.addressOwners[a.Address] = addressOwner{a.Name, a.Incarnation}
 	return true
 }
 
+func (t *Table) releaseAddress(name, address string) {
+	if t.addressOwners[address].name == name {
+		delete(t.addressOwners, address)
+	}
+}
+
 // differs reports whether two reports differ in anything that hosts base decisions on.
 func differs(a, b *schema.Announcement) bool {
 	return a.Incarnation != b.Incarnation || a.Address != b.Address || a.Pool != b.Pool ||
@@ -261,7 +280,7 @@
 	if !(p.Age >= 0) || old != nil && !newerHost(p, old.report) {
 		return false
 	}
-	updated := &entryHost{report: p, reportedAt: now - ageOf(p.Age), controlAddress: controlAddress}
+	updated := &entryHost{report: p, reportedAt: now - timer.Seconds(p.Age), controlAddress: controlAddress}
 	changed := old == nil || old.report.Incarnation != p.Incarnation || old.report.Ready != p.Ready || old.report.Stopping != p.Stopping || old.report.Listen != p.Listen
 	if changed {
 		t.revision++
@@ -298,9 +317,7 @@
 		switch {
 		case now-u.reportedAt > forgetTimeout && (u.report.Gone || silent):
 			delete(t.upstreams, name)
-			if t.addressOwners[u.report.Address] == name {
-				delete(t.addressOwners, u.report.Address)
-			}
+			maps.DeleteFunc(t.addressOwners, func(_ string, x addressOwner) bool { return x.name == name })
 		case silent && !u.report.Silent:
 			t.markSilent(u, true)
 			marked = append(marked, name)
--- a/internal/cataloger/limit.go
+++ b/internal/cataloger/limit.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -40,11 +42,11 @@
 
 // storeLimit is StoreLimit for a known process. The caller holds mu.
 func (t *Table) storeLimit(u *upstream, l *schema.NamedLimit, direct bool) bool {
-	if !(l.Rate >= 0) || !(l.Age >= 0) {
+	if inRange := l.Rate >= 0 && l.Rate <= math.MaxFloat64 && l.Age >= 0; !inRange { // NaN is in no range
 		return false
 	}
 	now := t.Timer.Now()
-	receivedAt := now - ageOf(l.Age)
+	receivedAt := now - timer.Seconds(l.Age)
 	old := u.limit
 	if old != nil && receivedAt <= old.receivedAt {
 		return false
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -82,7 +83,7 @@
 	now := s.Timer.Now()
 	for _, m := range limits {
 		u := s.upstreams[m.Upstream]
-		receivedAt := now - time.Duration(m.Age*float64(time.Second))
+		receivedAt := now - timer.Seconds(m.Age)
 		if u == nil || u.announcement.Incarnation != m.Incarnation || receivedAt <= u.limit.receivedAt {
 			continue
 		}
@@ -172,7 +173,7 @@
 }
 
 // baseOwners returns the number of hosts that may send while answers come.
-func (l *limitState) baseOwners() int { return max(1, min(l.hosts, int(l.rate))) }
+func (l *limitState) baseOwners() int { return max(1, int(min(float64(l.hosts), l.rate))) }
 
 // needsCheck reports whether the upstream's limit was named so long ago that the next request should
 // find out whether it still is.
