Keep a witness only while the response's own connection shows its process

From the review. A witness dialed while a listener is being closed may stay open with no process behind it (7 of 391 dials here); TestAnswersOfKilledUpstreams so failed 2 of 180 runs. A whole unframed response ended in 502 if its upstream closes unused connections before the response ends (TestUnframedAnswerOfUpstreamThatClosesIdleConnections, failed 3 of 3), and a witness replaced during a stream could be of the next process (TestAnswersOfUpstreamsRestartedUnseen, failed 3 of 3 on an earlier form).

Change: the witness is looked at every 100 ms, and a closed one is replaced only if the response's own connection is still open once the new one was accepted, which a poll shows without taking an error from the socket. If the witness is younger than 500 ms at the end, one further connection must be accepted.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -92,7 +92,6 @@
 				reservation.RecordFirstToken()
 				reservation.RecordReceived(call.OpenedAt())
 				s.run.RecordProgress()
-				end.recordProgress(ctx)
 			}
 			if !begun {
 				begun = true
--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -6,75 +6,94 @@
 	"io"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
-// Time that it may take to open the witness of a response.
-const witnessTimeout = 500 * time.Millisecond
+const (
+	// Time that it may take to open the witness of a response.
+	witnessTimeout = 500 * time.Millisecond
+	// Time between two checks whether the upstream has closed the witness, as it was idle.
+	witnessCheckInterval = 100 * time.Millisecond
+)
 
 // errProcessEnded means that the end of a response may be that of the upstream's process.
 var errProcessEnded = errors.New("forwarder: the upstream's process may have ended")
 
 // endCheck finds out whether a response that states neither a length nor chunks ended by itself. The sockets of a
 // killed process are closed as after a whole response, so another connection to the same process is kept beside
-// it, the witness: the response is whole only if that one stays open. Close must be called.
+// it: the response is whole only if that one stays open. Close must be called.
 type endCheck struct {
 	f           *Forwarder
 	request     *Request
 	reservation *scheduler.Reservation
-	call        *pooler.Call // nil: the response states its end
-	// opened is closed once witness, or else err, is set.
-	opened  chan struct{}
-	witness *pooler.Witness
-	err     error
+	call        *pooler.Call    // nil: the response states its end
+	witness     *pooler.Witness // of watch until watched is closed
+	err         error           // why there is no witness; of watch until watched is closed
+	stop        context.CancelFunc
+	watched     chan struct{}
 }
 
-// newEndCheck begins to open a witness if the response that is read from call needs one.
+// newEndCheck begins to watch a witness if the response that is read from call needs one.
 func (f *Forwarder) newEndCheck(ctx context.Context, r *Request, reservation *scheduler.Reservation, call *pooler.Call) *endCheck {
 	if !call.Unframed() {
 		return &endCheck{}
 	}
-	c := &endCheck{f: f, request: r, reservation: reservation, call: call}
-	c.open(ctx, nil)
+	c := &endCheck{f: f, request: r, reservation: reservation, call: call, err: errProcessEnded, watched: make(chan struct{})}
+	stopped, stop := context.WithCancel(ctx)
+	c.stop = stop
+	go confiner.Call(f.Log, "witness", func() {
+		defer close(c.watched)
+		c.watch(ctx, stopped)
+	})
 	return c
 }
 
-// open opens a witness. If earlier is still open then, which the upstream may soon close because it is idle, both
-// are connections to the same process, and the new one takes its place.
-func (c *endCheck) open(ctx context.Context, earlier *pooler.Witness) {
-	opened := make(chan struct{})
-	c.opened, c.witness = opened, earlier
-	go func() {
-		defer close(opened)
-		ctx, cancel := c.f.withDeadline(ctx, c.f.Timer.Now()+witnessTimeout)
-		defer cancel()
-		w, err := c.f.Pool.Witness(ctx, c.reservation.Address)
-		switch {
-		case earlier == nil:
-			c.witness, c.err = w, err
-		case err != nil:
-		case earlier.Open():
-			earlier.Release()
-			c.witness = w
-		default:
-			w.Release()
+// watch opens a witness, and another one whenever the upstream has closed it, as it was idle, while the response
+// goes on. It returns once stopped has ended.
+func (c *endCheck) watch(ctx, stopped context.Context) {
+	c.open(ctx)
+	for c.wait(stopped) {
+		if c.witness != nil && c.witness.Open() {
+			continue
+		}
+		if !c.call.Open() {
+			return
+		}
+		c.release()
+		c.open(ctx)
+		if !c.call.Open() { // the witness may be of the next process
+			c.release()
+			c.err = errProcessEnded
+			return
 		}
-	}()
+	}
 }
 
-// recordProgress is called when a part of the response has arrived.
-func (c *endCheck) recordProgress(ctx context.Context) {
-	if c.call == nil {
-		return
-	}
+// wait returns true after witnessCheckInterval, or false once ctx has ended.
+func (c *endCheck) wait(ctx context.Context) bool {
+	passed := make(chan struct{})
+	stop := c.f.Timer.Once(witnessCheckInterval, func() { close(passed) })
+	defer stop()
 	select {
-	case <-c.opened:
-	default:
-		return
+	case <-passed:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	if c.witness != nil && c.witness.Expiring() {
-		c.open(ctx, c.witness)
+}
+
+func (c *endCheck) open(ctx context.Context) {
+	ctx, cancel := c.f.withDeadline(ctx, c.f.Timer.Now()+witnessTimeout)
+	defer cancel()
+	c.witness, c.err = c.f.Pool.Witness(ctx, c.reservation.Address)
+}
+
+func (c *endCheck) release() {
+	if c.witness != nil {
+		c.witness.Release()
+		c.witness = nil
 	}
 }
 
@@ -83,13 +102,17 @@
 	if c.call == nil {
 		return nil
 	}
-	<-c.opened
+	c.stop()
+	<-c.watched
 	err := c.err
 	switch {
 	case c.reservation.ProcessEnded(c.call.OpenedAt()):
 		err = errProcessEnded
 	case err == nil && !c.witness.Outlives(ctx):
 		err = errProcessEnded
+	case err == nil && c.f.Timer.Now()-c.witness.OpenedAt() < witnessTimeout:
+		// A connection that was opened while the process closed its listener may stay open without it.
+		err = c.probe(ctx)
 	}
 	c.f.Log.Info().Err(err).Str("request", c.request.ID).Str("upstream", c.reservation.Name).Uint64("incarnation", c.reservation.Incarnation).
 		Bool("complete", err == nil).Msg("end of an unframed response checked")
@@ -99,13 +122,19 @@
 	return errors.Join(errUpstreamFailed, errUnfinished, io.ErrUnexpectedEOF, err)
 }
 
+// probe returns an error unless the upstream accepts a connection.
+func (c *endCheck) probe(ctx context.Context) error {
+	ctx, cancel := c.f.withDeadline(ctx, c.f.Timer.Now()+witnessTimeout)
+	defer cancel()
+	return c.f.Pool.Probe(ctx, c.reservation.Address)
+}
+
 // Close releases the witness.
 func (c *endCheck) Close() {
 	if c.call == nil {
 		return
 	}
-	<-c.opened
-	if c.witness != nil {
-		c.witness.Release()
-	}
+	c.stop()
+	<-c.watched
+	c.release()
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -317,6 +317,22 @@
 // OpenedAt returns a time on the clock of the Pool's Timer just before the connection was opened.
 func (c *Call) OpenedAt() time.Duration { return c.conn.openedAt }
 
+// Open reports whether the other end has not closed the connection, even if received bytes are still to be read.
+// It may be called concurrently with the other methods.
+func (c *Call) Open() bool {
+	raw, err := c.conn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		// A poll leaves an error of the connection for the next Read, unlike a peek.
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
+		open = n == 0 && err == nil
+	})
+	return err == nil && open
+}
+
 // Abort closes the connection, so that a Read in progress and all later ones fail. It may be called
 // concurrently with the other methods.
 func (c *Call) Abort() { _ = c.conn.Conn.Close() }
--- a/internal/pooler/witness.go
+++ b/internal/pooler/witness.go
@@ -29,6 +29,9 @@
 	return &Witness{pool: p, conn: c, idleSince: cmp.Or(c.idleSince, p.Timer.Now())}, nil
 }
 
+// OpenedAt returns a time on the clock of the Pool's Timer just before the connection was opened.
+func (w *Witness) OpenedAt() time.Duration { return w.conn.openedAt }
+
 // Open reports whether the other end has not closed the connection.
 func (w *Witness) Open() bool { return nothingReceived(w.conn.Conn) }
 
@@ -45,11 +48,6 @@
 	return w.Open()
 }
 
-// Expiring reports whether the upstream may soon close the connection because it is idle.
-func (w *Witness) Expiring() bool {
-	return w.pool.Timer.Now()-w.idleSince >= w.conn.idleTimeout/2
-}
-
 // Release makes the connection an idle one again, idle since it was, unless the other end has closed it.
 func (w *Witness) Release() {
 	if !w.Open() {
