An unframed response that broke off with its witness shows the end of the process

Once streams of killed upstreams are taken up instead of passing for complete, 5 of 571 held events of two versions in TestStreamsOfKilledUpstreams (2 are allowed): an engine that was killed had started again at once under its name with another version, and other hosts took streams up there. Trace of stream-1-10: the host that lost the stream probed the address, the new process accepted within 100 ms, and the doubt was dropped. Cause: a connection that breaks is weak evidence, and so was this one, although the witness had ended with it. Now such an end counts as a refused connection: the process is assumed to have ended and the other hosts are told.

--- a/internal/forwarder/breakage.go
+++ b/internal/forwarder/breakage.go
@@ -26,7 +26,7 @@
 
 // recordBreak records what the error of an attempt says about the upstream's process.
 func (f *Forwarder) recordBreak(ctx context.Context, r *Request, reservation *scheduler.Reservation, err error) {
-	refused := errors.Is(err, pooler.ErrRefused) || errors.Is(err, errMisdirected)
+	refused := errors.Is(err, pooler.ErrRefused) || errors.Is(err, errMisdirected) || errors.Is(err, errProcessEnded)
 	if !refused && (ctx.Err() != nil || !brokenByUpstream(err)) {
 		return
 	}
