--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -230,6 +230,7 @@
 		return errors.Join(errUpstreamFailed, pooler.ErrMalformedResponse)
 	}
 	r.mayHaveRun = true
+	// A failure may answer a caller that takes a stream up, but cannot stand within a stream.
 	if s.headSent || r.takesUp() && verdict == Valid && call.Response.StatusCode < 300 {
 		if err := checkContinuation(call.Response, s.mediaType); err != nil {
 			return errors.Join(errUpstreamFailed, err)
