Log and count which hosts the directory lists

Nothing told from which table, of what age, a host named the hosts of another region, nor under which configuration and homes: the two ways to leave the home regions, by the directory and by a relay or a run, could not be told apart. The directory now counts its lists by their source and logs a line when the source for a region's callers changes, with the name's homes, the hosts per region, whether this host is ready, the version, the age of its confirmation and of the table. Lists are as before.

--- a/internal/cataloger/follow.go
+++ b/internal/cataloger/follow.go
@@ -139,6 +139,16 @@
 	return gap && !r.Whole
 }
 
+// FollowAge returns the time since the last reply of the followed table; 0 if there was none.
+func (t *Table) FollowAge() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.follow.repliedAt == 0 {
+		return 0
+	}
+	return t.Timer.Now() - t.follow.repliedAt
+}
+
 // Observed returns the time for which this table has been complete without a break; 0 if it is not. leads
 // means that this host receives all reports.
 func (t *Table) Observed(leads bool) time.Duration {
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -10,24 +10,37 @@
 // homes returns the regions that may serve a request: those that both its route and its
 // customer allow. Nil means any region, an empty list none.
 func homes(route *schema.Route, customer *schema.Customer) []string {
-	a, b := route.Regions, customer.GetRegions()
+	return commonRegions(commonRegions(nil, route.Regions), customer.GetRegions())
+}
+
+// commonRegions returns the regions of a that more allows: all if more is empty. A nil a stands for every
+// region, an empty one for none.
+func commonRegions(a, more []string) []string {
 	switch {
-	case len(a) == 0 && len(b) == 0:
-		return nil
-	case len(a) == 0:
-		return b
-	case len(b) == 0:
+	case len(more) == 0:
 		return a
+	case a == nil:
+		return more
 	}
 	both := []string{}
 	for _, region := range a {
-		if slices.Contains(b, region) {
+		if slices.Contains(more, region) {
 			both = append(both, region)
 		}
 	}
 	return both
 }
 
+// NameHomes returns the regions in which every route of a host name may be served, nil for any. It returns
+// false if no configuration is in force yet.
+func (f *Forwarder) NameHomes(name string) ([]string, bool) {
+	x := f.index.Load()
+	if x == nil || x.snapshot.DocumentNumber() == 0 {
+		return nil, false
+	}
+	return x.homes[name], true
+}
+
 // allows reports whether a region may serve the request.
 func (r *Request) allows(region string) bool {
 	return r.regions == nil || slices.Contains(r.regions, region)
--- a/internal/forwarder/index.go
+++ b/internal/forwarder/index.go
@@ -13,16 +13,18 @@
 type index struct {
 	snapshot *configurer.Snapshot
 	routes   map[string][]*schema.Route // by host, longest prefix first
+	homes    map[string][]string        // by host: the regions that all its routes may be served in; nil: any
 	// requiresKey is true if the configuration has customers: requests on routes that are not
 	// open then need an API key.
 	requiresKey bool
 }
 
 func newIndex(c *configurer.Snapshot) *index {
-	x := &index{snapshot: c, routes: map[string][]*schema.Route{}}
+	x := &index{snapshot: c, routes: map[string][]*schema.Route{}, homes: map[string][]string{}}
 	for _, p := range c.Paths("route") {
 		if r := c.Item(p).GetRoute(); r.Host != "" {
 			x.routes[r.Host] = append(x.routes[r.Host], r)
+			x.homes[r.Host] = commonRegions(x.homes[r.Host], r.Regions)
 		}
 	}
 	for _, list := range x.routes {
--- a/internal/starter/directory.go
+++ b/internal/starter/directory.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -41,3 +44,45 @@
 	own = slices.SortedFunc(slices.Values(own), func(a, b *schema.Peer) int { return cmp.Compare(weight(a), weight(b)) })
 	return own[:MaxListedHosts]
 }
+
+// listSource says which hosts a list for callers of a region holds.
+type listSource string
+
+const (
+	listReady        listSource = "ready"    // ready hosts of the region
+	listStopping     listSource = "stopping" // its hosts that are stopping but still serve
+	listOtherRegions listSource = "other"    // ready hosts of other regions
+	listEmpty        listSource = "none"
+)
+
+// maxObservedRegions bounds the regions whose lists are observed: callers name them.
+const maxObservedRegions = 32
+
+// listObserver counts the lists that callers are given, and logs when those of a region come from another
+// source than before.
+type listObserver struct {
+	log     zerolog.Logger
+	counter *prometheus.CounterVec // by source
+
+	mu   sync.Mutex
+	last map[string]listSource // by region of the callers; guarded by mu
+}
+
+func newListObserver(log zerolog.Logger) *listObserver {
+	return &listObserver{log: log, last: map[string]listSource{}, counter: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trefoil_directory_lists_total", Help: "Lists of hosts given to callers, by which hosts they hold.",
+	}, []string{"source"})}
+}
+
+// record records one list for callers of a region. Describe adds what decided to the log line.
+func (o *listObserver) record(region string, source listSource, describe func(*zerolog.Event)) {
+	o.counter.WithLabelValues(string(source)).Inc()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	last, known := o.last[region]
+	if known && last == source || !known && (source == listReady || len(o.last) >= maxObservedRegions) {
+		return
+	}
+	o.last[region] = source
+	o.log.Info().Str("region", region).Str("source", string(source)).Func(describe).Msg("directory lists other hosts")
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
@@ -72,6 +73,7 @@
 	// Requests bounds the memory for the bodies of callers' requests.
 	Requests    *bufferer.Budget
 	unusable    *unusableReports
+	lists       *listObserver
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
@@ -96,6 +98,7 @@
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
 	e.unusable = newUnusableReports(e.Timer, e.Log)
 	e.Table.OnUnusable = e.unusable.record
+	e.lists = newListObserver(e.Log)
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
@@ -212,7 +215,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
 }
 
 // Stopping reports whether the process is shutting down.
@@ -224,18 +227,44 @@
 	return !e.stopping.Load() && confirmed && age < maxReadyConfirmationAge && e.distributor.Current().DocumentNumber() > 0
 }
 
-// Resolve returns the addresses that callers of a region and failure domain should use, at most
-// MaxListedHosts: ready hosts of the region; if there are none, its hosts that are stopping but
-// still serve; if there are none either, ready hosts of all regions.
-func (e *Entry) Resolve(region, domain string) []string {
-	entryHosts := e.withOwnState(region, e.Table.ReadyHosts(region))
-	if len(entryHosts) == 0 {
-		entryHosts = e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin)
+// Resolve returns the addresses that callers of a region and failure domain should use for requests to the
+// host name, at most MaxListedHosts: ready hosts of the region; if there are none, its hosts that are stopping
+// but still serve; if there are none either, ready hosts of all regions.
+func (e *Entry) Resolve(name, region, domain string) []string {
+	source, hosts := e.selectHosts(region)
+	e.lists.record(region, source, func(line *zerolog.Event) { e.describeList(line, name, hosts) })
+	return addressesOf(listHosts(hosts, domain, e.Settings.Name))
+}
+
+// selectHosts returns the hosts that callers of a region may use, and which they are.
+func (e *Entry) selectHosts(region string) (listSource, []*schema.Peer) {
+	if hosts := e.withOwnState(region, e.Table.ReadyHosts(region)); len(hosts) > 0 {
+		return listReady, hosts
+	}
+	if hosts := e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin); len(hosts) > 0 {
+		return listStopping, hosts
+	}
+	if hosts := e.withOwnState("", e.Table.ReadyHosts("")); len(hosts) > 0 {
+		return listOtherRegions, hosts
+	}
+	return listEmpty, nil
+}
+
+// describeList adds to a log line how many hosts of each region a list holds, and how old the configuration
+// and the table are that it was made from.
+func (e *Entry) describeList(line *zerolog.Event, name string, hosts []*schema.Peer) {
+	counts := zerolog.Dict()
+	perRegion := map[string]int{}
+	for _, p := range hosts {
+		perRegion[p.Region]++
 	}
-	if len(entryHosts) == 0 {
-		entryHosts = e.withOwnState("", e.Table.ReadyHosts(""))
+	for region, n := range perRegion {
+		counts.Int(region, n)
 	}
-	return addressesOf(listHosts(entryHosts, domain, e.Settings.Name))
+	homes, _ := e.Forwarder.NameHomes(name)
+	age, _ := e.refresher.ConfirmationAge()
+	line.Str("name", name).Strs("homes", homes).Dict("hosts", counts).Bool("ready", e.Ready()).Bool("stopping", e.Stopping()).Uint64("version", e.distributor.Current().Version).
+		Dur("certainty", age).Dur("table", e.Table.FollowAge()).Dur("observed", e.Table.Observed(false))
 }
 
 // relayHosts returns the entry hosts of a region that requests may be relayed to: ready ones; if there are
@@ -261,7 +290,7 @@
 	name := e.Settings.Name
 	entryHosts = slices.DeleteFunc(entryHosts, func(p *schema.Peer) bool { return p.Name == name })
 	if e.Ready() && (region == "" || region == e.Settings.Region) {
-		entryHosts = append(entryHosts, &schema.Peer{Name: name, Domain: e.Settings.Domain, Listen: e.Settings.Listen})
+		entryHosts = append(entryHosts, &schema.Peer{Name: name, Region: e.Settings.Region, Domain: e.Settings.Domain, Listen: e.Settings.Listen})
 	}
 	return entryHosts
 }
