Directory: list hosts of another region only if it is a home of the name

What callers saw: while none of the hosts of their own region was ready, the directory sent them to any other region, with bodies for routes that are bound to regions; entry hosts there took these bodies in.

Cause: Resolve knew the region of the callers but not what they may use: the name that they ask for came to the directory and was dropped.

Now another region is listed only if every route of the name may be served in it, by the configuration in force; a host without a configuration lists no other region. The homes of a customer cannot be known there: callers present no key.

The log line is kept by name and region, so that two names with other homes do not alternate in it.

--- a/internal/starter/directory.go
+++ b/internal/starter/directory.go
@@ -55,34 +55,46 @@
 	listEmpty        listSource = "none"
 )
 
-// maxObservedRegions bounds the regions whose lists are observed: callers name them.
-const maxObservedRegions = 32
+// maxLoggedLists bounds the lists whose changes are logged: callers choose names and regions.
+const maxLoggedLists = 64
 
-// listObserver counts the lists that callers are given, and logs when those of a region come from another
-// source than before.
+// listKey identifies the lists for callers of one region who ask for one host name.
+type listKey struct{ name, region string }
+
+// listObserver counts the lists that callers are given, and logs when they come from another source than
+// before.
 type listObserver struct {
 	log     zerolog.Logger
 	counter *prometheus.CounterVec // by source
 
 	mu   sync.Mutex
-	last map[string]listSource // by region of the callers; guarded by mu
+	last map[listKey]listSource // guarded by mu
 }
 
 func newListObserver(log zerolog.Logger) *listObserver {
-	return &listObserver{log: log, last: map[string]listSource{}, counter: prometheus.NewCounterVec(prometheus.CounterOpts{
+	return &listObserver{log: log, last: map[listKey]listSource{}, counter: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trefoil_directory_lists_total", Help: "Lists of hosts given to callers, by which hosts they hold.",
 	}, []string{"source"})}
 }
 
-// record records one list for callers of a region. Describe adds what decided to the log line.
-func (o *listObserver) record(region string, source listSource, describe func(*zerolog.Event)) {
+// record records one list. Describe adds what decided to the log line.
+func (o *listObserver) record(key listKey, source listSource, describe func(*zerolog.Event)) {
 	o.counter.WithLabelValues(string(source)).Inc()
+	if !o.changed(key, source) {
+		return
+	}
+	o.log.Info().Str("name", key.name).Str("region", key.region).Str("source", string(source)).Func(describe).Msg("directory lists other hosts")
+}
+
+// changed reports whether a list comes from another source than the last one. The first is expected to hold
+// ready hosts.
+func (o *listObserver) changed(key listKey, source listSource) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	last, known := o.last[region]
-	if known && last == source || !known && (source == listReady || len(o.last) >= maxObservedRegions) {
-		return
+	last, known := o.last[key]
+	if known && last == source || !known && (source == listReady || len(o.last) >= maxLoggedLists) {
+		return false
 	}
-	o.last[region] = source
-	o.log.Info().Str("region", region).Str("source", string(source)).Func(describe).Msg("directory lists other hosts")
+	o.last[key] = source
+	return true
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -229,27 +229,38 @@
 
 // Resolve returns the addresses that callers of a region and failure domain should use for requests to the
 // host name, at most MaxListedHosts: ready hosts of the region; if there are none, its hosts that are stopping
-// but still serve; if there are none either, ready hosts of all regions.
+// but still serve; if there are none either, ready hosts of the name's home regions.
 func (e *Entry) Resolve(name, region, domain string) []string {
-	source, hosts := e.selectHosts(region)
-	e.lists.record(region, source, func(line *zerolog.Event) { e.describeList(line, name, hosts) })
+	source, hosts := e.selectHosts(name, region)
+	e.lists.record(listKey{name, region}, source, func(line *zerolog.Event) { e.describeList(line, name, hosts) })
 	return addressesOf(listHosts(hosts, domain, e.Settings.Name))
 }
 
-// selectHosts returns the hosts that callers of a region may use, and which they are.
-func (e *Entry) selectHosts(region string) (listSource, []*schema.Peer) {
+// selectHosts returns the hosts that callers of a region may use for a host name, and which they are.
+func (e *Entry) selectHosts(name, region string) (listSource, []*schema.Peer) {
 	if hosts := e.withOwnState(region, e.Table.ReadyHosts(region)); len(hosts) > 0 {
 		return listReady, hosts
 	}
 	if hosts := e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin); len(hosts) > 0 {
 		return listStopping, hosts
 	}
-	if hosts := e.withOwnState("", e.Table.ReadyHosts("")); len(hosts) > 0 {
+	if hosts := e.hostsOfHomes(name); len(hosts) > 0 {
 		return listOtherRegions, hosts
 	}
 	return listEmpty, nil
 }
 
+// hostsOfHomes returns the ready hosts of the regions in which every route of a host name may be served.
+func (e *Entry) hostsOfHomes(name string) []*schema.Peer {
+	homes, known := e.Forwarder.NameHomes(name)
+	if !known {
+		return nil
+	}
+	return slices.DeleteFunc(e.withOwnState("", e.Table.ReadyHosts("")), func(p *schema.Peer) bool {
+		return homes != nil && !slices.Contains(homes, p.Region)
+	})
+}
+
 // describeList adds to a log line how many hosts of each region a list holds, and how old the configuration
 // and the table are that it was made from.
 func (e *Entry) describeList(line *zerolog.Event, name string, hosts []*schema.Peer) {
@@ -261,10 +272,14 @@
 	for region, n := range perRegion {
 		counts.Int(region, n)
 	}
-	homes, _ := e.Forwarder.NameHomes(name)
-	age, _ := e.refresher.ConfirmationAge()
-	line.Str("name", name).Strs("homes", homes).Dict("hosts", counts).Bool("ready", e.Ready()).Bool("stopping", e.Stopping()).Uint64("version", e.distributor.Current().Version).
-		Dur("certainty", age).Dur("table", e.Table.FollowAge()).Dur("observed", e.Table.Observed(false))
+	if homes, _ := e.Forwarder.NameHomes(name); homes != nil {
+		line.Strs("homes", homes)
+	}
+	if age, confirmed := e.refresher.ConfirmationAge(); confirmed {
+		line.Dur("certainty", age)
+	}
+	line.Dict("hosts", counts).Bool("ready", e.Ready()).Bool("stopping", e.Stopping()).Uint64("version", e.distributor.Current().Version).
+		Dur("table", e.Table.FollowAge()).Dur("observed", e.Table.Observed(false))
 }
 
 // relayHosts returns the entry hosts of a region that requests may be relayed to: ready ones; if there are
