Older interface: list only hosts of the home for a customer with one

Evidence: TestHostsOfBoundCustomer failed before (a1 and c1 listed after b1 for a customer with home b). Now a customer with a home gets the hosts of its home alone; others as before.

--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -174,16 +174,16 @@
 // serveHosts lists the addresses of the hosts that a caller should use, best first, and for how
 // many seconds the list is valid.
 func (s *Server) serveHosts(w http.ResponseWriter, r *http.Request) {
-	region := s.Settings.Region
+	region, bound := s.Settings.Region, r.URL.Query().Get("bound") != ""
 	if p, err := s.authenticate(r); err == nil && p.customer.Home != "" {
-		region = p.customer.Home
+		region, bound = p.customer.Home, true
 	}
 	writeJSON(w, struct {
 		Object   string   `json:"object"`
 		Region   string   `json:"region"`
 		Hosts    []string `json:"hosts"`
 		Lifetime float64  `json:"lifetime"`
-	}{"list", region, s.listHosts(region, r.URL.Query().Get("bound") != ""), hostListTTL.Seconds()})
+	}{"list", region, s.listHosts(region, bound), hostListTTL.Seconds()})
 }
 
 // listHosts returns the addresses of a region's hosts, followed by those of other regions unless
