Relay a request with homes only to a host that has named itself on the connection

Cause: a relay goes to the address that the table lists for an entry host. If that host is gone and a process of another region has the address, that one has the whole request before requestOf can refuse it. The refusal (503, "the configuration may have changed") hid it.

Ruled out: a check by address or by grpc.ClientConn. A ClientConn reconnects by itself, also between a check and the call. The interface before (internal/server/forward.go) has the same way of sending, but never forwards what has a home: checkHome refuses it at the door with 421, offloadRegion leaves customers with a home out, and recordsRegion of a bound call is the region itself.

Change: the client's credentials give each network connection an object of its own (credentials.AuthInfo). A host names itself and its region in the headers of its acknowledgement of a probe, which exists already; the relaying host stores the names at the connection on which they came. A relay with homes has a per-call credential (dialer.Expect), which grpc evaluates for each attempt of a call on the transport that it is about to use, before anything is sent. If the connection is not known, the host probes it once and calls again; if it is another host, the next host of the region is tried, then other regions, else 503 not run. One log line a connection.

Weighed: an exchange of names within the handshake (before HTTP/2) fails with hosts of the version before, and needs a second dial to fall back; names in the server's HTTP/2 SETTINGS need no round trip but a rewrite of grpc's frames; waiting for the header of each relay costs a round trip each.

Unary calls and requests without homes are sent as before.

Rolling upgrade: an earlier host's acknowledgement has no names. It gets no request with homes (503 not run, after the region's other hosts were tried); requests without homes go on. An earlier client sends no probe and is served as before.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -74,6 +74,8 @@
 	Secret    string
 	MutualTLS *schema.Tls
 	Timer     *timer.Service
+	// Log gets a line for each connection that reaches another host than the one expected by a call.
+	Log zerolog.Logger
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn     // by address; guarded by mu
@@ -104,7 +106,7 @@
 		return nil, err
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(creds),
+		grpc.WithTransportCredentials(&peerCredentials{creds, address, d.Log}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minRedialDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay},
 			MinConnectTimeout: maxRedialDelay,
--- a/internal/forwarder/monitor.go
+++ b/internal/forwarder/monitor.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
-	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
 const (
@@ -106,15 +105,10 @@
 		f.Log.Warn().Err(err).Str("region", region).Msg("connecting to an entry host of a region failed")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, &schema.RelayRequest{})
-	if err != nil {
+	if err := f.acknowledge(context.Background(), conn); err != nil {
 		return // the region stays unresponsive, which was logged
 	}
-	if _, err := stream.Recv(); err == nil {
-		f.regionReplied(region)
-	}
+	f.regionReplied(region)
 }
 
 // regionReplied records a reply from a region, and logs if the region was unresponsive.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -31,8 +32,8 @@
 // relay sends a request through one entry host of another region. After an error another region
 // may be asked unless r.mayHaveRun is set or the response has begun.
 func (f *Forwarder) relay(ctx context.Context, region string, r *Request, sink Sink, t *trace) error {
-	entry := f.entryHost(region)
-	if entry == nil {
+	hosts := f.hostsInRandomOrder(region)
+	if len(hosts) == 0 {
 		return refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay)
 	}
 	if r.customer != nil {
@@ -40,29 +41,78 @@
 			return err
 		}
 	}
-	t.logRelayed(region, entry.Name)
-	conn, err := f.Dialer.Conn(entry.Internal)
-	if err != nil {
-		return errors.Join(errRelayFailed, err)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.monitor.recordRequest(region, f.Timer.Now())
-	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.newRelayRequest(r))
+	var stream grpc.ServerStreamingClient[schema.RelayReply]
+	var err error
+	for _, entry := range hosts {
+		t.logRelayed(region, entry.Name)
+		if stream, err = f.openRelay(ctx, entry, r); !errors.Is(err, dialer.ErrWrongPeer) {
+			break
+		}
+	}
 	if err != nil {
-		return f.relayError(r, err)
+		return err
 	}
 	return f.forwardReplies(r, sink, stream, region)
 }
 
-// entryHost returns an entry host of a region, nil if none is ready. Each host uses only a
-// few of them, so that connections between regions do not grow with the square of the hosts.
+// openRelay sends a request to an entry host of another region. A process of another host may have the host's
+// address by now: a request that is bound to regions is sent only on a connection on which the peer has
+// named itself as the host. Hosts of earlier versions do not name themselves.
+func (f *Forwarder) openRelay(ctx context.Context, entry *schema.Peer, r *Request) (grpc.ServerStreamingClient[schema.RelayReply], error) {
+	conn, err := f.Dialer.Conn(entry.Internal)
+	if err != nil {
+		return nil, errors.Join(errRelayFailed, err)
+	}
+	client := schema.NewRelayServiceClient(conn)
+	var opts []grpc.CallOption
+	if r.regions != nil {
+		opts = append(opts, dialer.Expect(dialer.Peer{Host: entry.Name, Region: entry.Region}))
+	}
+	stream, err := client.Relay(ctx, f.newRelayRequest(r), opts...)
+	if errors.Is(err, dialer.ErrUnknownPeer) {
+		if err := f.acknowledge(ctx, conn); err != nil {
+			return nil, errors.Join(errRelayFailed, err)
+		}
+		stream, err = client.Relay(ctx, f.newRelayRequest(r), opts...)
+	}
+	if err != nil {
+		return nil, f.relayError(r, err)
+	}
+	return stream, nil
+}
+
+// acknowledge asks the process at the other end of a connection for an acknowledgement, with which it names
+// itself.
+func (f *Forwarder) acknowledge(ctx context.Context, conn *grpc.ClientConn) error {
+	ctx, cancel := f.withDeadline(ctx, f.Timer.Now()+probeTimeout)
+	defer cancel()
+	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, &schema.RelayRequest{})
+	if err != nil {
+		return err
+	}
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	return dialer.LearnPeer(stream)
+}
+
+// entryHost returns an entry host of a region, nil if none is ready.
 func (f *Forwarder) entryHost(region string) *schema.Peer {
-	hosts := preferredHosts(f.Host, f.EntryHosts(region))
-	if len(hosts) == 0 {
-		return nil
+	if hosts := f.hostsInRandomOrder(region); len(hosts) > 0 {
+		return hosts[0]
 	}
-	return hosts[rand.IntN(len(hosts))]
+	return nil
+}
+
+// hostsInRandomOrder returns the entry hosts of a region to which this host relays. Each host uses only a
+// few of them, so that connections between regions do not grow with the square of the hosts.
+func (f *Forwarder) hostsInRandomOrder(region string) []*schema.Peer {
+	hosts := slices.Clone(preferredHosts(f.Host, f.EntryHosts(region)))
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts
 }
 
 // preferredHosts returns the maxRelayHosts hosts that rank first by a hash of both names, so
@@ -119,7 +169,8 @@
 			err = sequence.check(reply, headSent)
 		}
 		if err != nil {
-			r.mayHaveRun = true
+			// grpc sends a request again that the peer certainly did not process, also on a new connection.
+			r.mayHaveRun = r.mayHaveRun || !dialer.NotSent(err)
 			if headSent {
 				return errors.Join(errTruncated, errRelayFailed, err)
 			}
@@ -194,10 +245,15 @@
 }
 
 // Relay runs a relayed request at an upstream of this region. A request without an ID is a
-// probe, which only gets an acknowledgement.
+// probe, which only gets an acknowledgement that names this host.
 func (s *RelayService) Relay(m *schema.RelayRequest, stream grpc.ServerStreamingServer[schema.RelayReply]) error {
 	f := s.Forwarder
 	sink := &relaySink{stream: stream}
+	if m.Id == "" {
+		if err := dialer.SendPeer(stream, dialer.Peer{Host: f.Host, Region: f.Region}); err != nil {
+			return err
+		}
+	}
 	// Acknowledge at once, which shows the sender that this region is reachable.
 	if err := sink.send(&schema.RelayReply{}); err != nil || m.Id == "" {
 		return err
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -94,7 +94,7 @@
 func (e *Entry) build() {
 	e.Timer = e.newClock()
 	e.incarnation = uint64(time.Now().UnixNano())
-	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer}
+	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer, Log: e.Log}
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
 	e.unusable = newUnusableReports(e.Timer, e.Log)
 	e.Table.OnUnusable = e.unusable.record
