The later of two entry hosts with one internal address takes it

Cause: the table judges an entry host by its own reports alone. One that is gone stays listed, ready until it has not reported for 2 s, stopping until the grace period is over, although a host that started later reports the same internal address. Upstreams lose their address in that case (claimAddress); entry hosts did not.

Ruled out: an entry whose region changed. A process has one region, and a report of a later process of a name replaces the earlier one whole. The incarnation differs, so it counts as a change and reaches the other tables.

Change: a report claims the host's internal address. The earlier owner counts as neither ready nor stopping; delayed reports of it are refused while the later one is ready. Unlike upstreams, a later owner that is not ready holds nothing: incarnations are start times by each host's own clock, and a dead host whose clock was ahead must not keep its successor out. Addresses that do not name one host (0.0.0.0, none) claim nothing: hosts that are never relayed to may report them.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -61,6 +61,7 @@
 	versions      versionHistory          // guarded by mu
 	addressOwners map[string]addressOwner // the upstreams that started last at each address; guarded by mu
 	hosts         map[string]*entryHost   // by name; guarded by mu
+	hostAddresses map[string]string       // names of the entry hosts that have each internal address; guarded by mu
 	// controlLoads holds the loads that other control hosts sent, by their address; guarded by mu
 	controlLoads map[string]controlLoad
 	regionTotals map[string]*regionTotal // by region; guarded by mu
@@ -119,6 +120,7 @@
 	t.upstreams = map[string]*upstream{}
 	t.addressOwners = map[string]addressOwner{}
 	t.hosts = map[string]*entryHost{}
+	t.hostAddresses = map[string]string{}
 }
 
 // StoreUpstream stores a report unless the table has a newer one. direct means that the upstream
@@ -277,7 +279,7 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	old := t.hosts[p.Name]
-	if !(p.Age >= 0) || old != nil && !newerHost(p, old.report) {
+	if !(p.Age >= 0) || old != nil && !newerHost(p, old.report) || !t.claimInternal(p) {
 		return false
 	}
 	updated := &entryHost{report: p, reportedAt: now - timer.Seconds(p.Age), controlAddress: controlAddress}
@@ -348,6 +350,7 @@
 		switch {
 		case now-p.reportedAt > forgetTimeout && !p.report.Ready:
 			delete(t.hosts, name)
+			t.releaseInternal(name, p.report.Internal)
 		case leads && p.report.Ready && now-p.reportedAt > hostTimeout && t.judges(p.controlAddress == "", leads, hostTimeout, now):
 			t.markReady(p, false)
 			marked = append(marked, name)
