Count relays withheld from another host, and log as passed only what was sent

What operators saw after the check of peers: "passed to another region" also for each host to which nothing was sent, as the line was written before the attempt. It is written now for the host that the request went to, and trefoil_relays_withheld_total counts the others.

--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -9,6 +9,7 @@
 	callersLeft, truncated            prometheus.Counter
 	limitsInvalid, pauses, leavers    prometheus.Counter
 	breakages, responsesInvalid       prometheus.Counter
+	relaysWithheld                    prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
 	slotWait                          prometheus.Histogram
 }
@@ -32,6 +33,9 @@
 		responsesInvalid: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "trefoil_responses_invalid_total", Help: "Responses of upstreams that were not valid ones to the request.",
 		}),
+		relaysWithheld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "trefoil_relays_withheld_total", Help: "Relays not sent as the address reached another host.",
+		}),
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "trefoil_request_seconds", Help: "Time from arrival to the end of the answer, by pool.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
@@ -45,5 +49,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.requestTime, m.slotWait}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait}
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -47,10 +47,11 @@
 	var stream grpc.ServerStreamingClient[schema.RelayReply]
 	var err error
 	for _, entry := range hosts {
-		t.logRelayed(region, entry.Name)
 		if stream, err = f.openRelay(ctx, entry, r); !errors.Is(err, dialer.ErrWrongPeer) {
+			t.logRelayed(region, entry.Name)
 			break
 		}
+		f.Metrics.relaysWithheld.Inc()
 	}
 	if err != nil {
 		return err
