Log the homes of a request where it is placed, passed on or refused

The lines "placed", "passed to another region" and "refused", the receiver's too, now hold the homes, at most 16 of them, this host's region, the age of the configuration's confirmation, and the newest version if the homes come from an older one. A receiver with an older configuration works out the homes before it refuses, so that its line shows them. "allowed" is called "homes" now, as in the line of the directory. No metric: the one of refusals by cause has those for want of a home.

No decision changes.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -252,7 +252,7 @@
 	}
 	r.configVersion = x.snapshot.Version
 	r.route = x.route(r.Host, r.Path)
-	if r.route == nil || x.snapshot.Version < m.Version {
+	if r.route == nil {
 		return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
 	}
 	if m.Customer != "" {
@@ -261,6 +261,9 @@
 		}
 	}
 	r.regions = homes(r.route, r.customer)
+	if x.snapshot.Version < m.Version {
+		return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
+	}
 	r.objectiveAt = now + seconds(m.Objective)
 	r.answerUntil = min(r.DeadlineAt, r.ArrivedAt+seconds(r.route.Timeout))
 	serves := slices.ContainsFunc(r.route.Targets, func(t *schema.Target) bool { return t.Pool == r.pool && t.Weight > 0 })
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -107,8 +107,11 @@
 	return r.contentHash
 }
 
-// maxLoggedParts is the number of parts of a prompt that a log line names.
-const maxLoggedParts = 8
+// Numbers of parts of a prompt and of homes that a log line names.
+const (
+	maxLoggedParts = 8
+	maxLoggedHomes = 16
+)
 
 func (r *Request) isStream() bool { return r.route.Kind == schema.RouteKind_ROUTE_STREAM }
 
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -34,16 +34,30 @@
 	return e
 }
 
+// withHomes adds what the decision where a request may be served rests on: its homes, this host's region, and
+// the age of the confirmation of the configuration that they come from. Homes are left out if any region is
+// one. A newer configuration that is in force already is added too.
+func (t *trace) withHomes(e *zerolog.Event) *zerolog.Event {
+	confirmationAge, _ := t.f.ConfirmationAge()
+	e = t.withFields(e).Str("here", t.f.Region).Dur("certainty", confirmationAge)
+	if homes := t.r.regions; homes != nil {
+		e = e.Strs("homes", homes[:min(len(homes), maxLoggedHomes)])
+	}
+	if x := t.f.index.Load(); x != nil && x.snapshot.Version != t.r.configVersion {
+		e = e.Uint64("newest", x.snapshot.Version)
+	}
+	return e
+}
+
 // logPlaced logs the upstream to which a request is sent and why the scheduler chose it.
 // QueuedAt is the time on the timer's clock at which the request began to wait for a slot.
 func (t *trace) logPlaced(reservation *scheduler.Reservation, queuedAt time.Duration) {
 	wait := t.f.Timer.Now() - queuedAt
-	confirmationAge, _ := t.f.ConfirmationAge()
 	t.f.Metrics.slotWait.Observe(wait.Seconds())
-	t.withFields(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Str("software", reservation.Software).Dur("waited", wait).
+	t.withHomes(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Str("software", reservation.Software).Dur("waited", wait).
 		Dur("expected", reservation.ExpectedDelay).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
 		Bool("agreed", reservation.Preferred).Str("passed", string(reservation.PreferredSkipped)).
-		Dur("certainty", confirmationAge).Int("sent", t.r.attempts).Msg("placed")
+		Int("sent", t.r.attempts).Msg("placed")
 }
 
 // logAttempt logs and counts how an attempt at an upstream ended; nil means that its response
@@ -69,7 +83,7 @@
 
 // logRelayed logs that the request is relayed to a host of another region.
 func (t *trace) logRelayed(region, host string) {
-	t.withFields(t.f.Log.Info()).Str("region", region).Str("host", host).Strs("allowed", t.r.regions).Msg("passed to another region")
+	t.withHomes(t.f.Log.Info()).Str("region", region).Str("host", host).Msg("passed to another region")
 }
 
 // logStopping logs whether a stopping host takes a request. Both times are counted from now.
@@ -80,8 +94,7 @@
 
 func (t *trace) refuse(sink Sink, x *Refusal) {
 	t.f.Metrics.refused.WithLabelValues(x.Cause).Inc()
-	confirmationAge, _ := t.f.ConfirmationAge()
-	e := t.withFields(t.f.Log.Info())
+	e := t.withHomes(t.f.Log.Info())
 	if x.Part != "" {
 		e = e.Str("part", x.Part)
 	}
@@ -89,7 +102,7 @@
 		e = e.Str("software", x.Software)
 	}
 	e.Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.RetryAfter).
-		Dur("certainty", confirmationAge).Float64("tokens", t.r.chargedTokens).Bool("unsure", t.r.mayHaveRun).Msg("refused")
+		Float64("tokens", t.r.chargedTokens).Bool("unsure", t.r.mayHaveRun).Msg("refused")
 	sink.Refuse(x)
 }
 
