Check the homes of a request by the newest configuration before each send

Cause: the homes were taken once, when the request arrived (identify, requestOf), and used until it ended. Meanwhile it may wait for a loan of tokens, for the version of a stream, for a slot, for another region's refusal, or be tried again; a configuration put in force then was not looked at. Class of fault: a permission checked when a request arrives and used later. The key was checked again before an attempt, but not before a relay, and not whether it had gone to another customer.

Ruled out: a receiver with an older configuration (it refuses), one with a newer one (it refuses on arrival, but not after it waited), equal versions with other homes (the hash chain of changes names the content), and a digest of another region than the host's (read, not run): a relay takes hosts by the region in their own reports, not by the sender of the digest.

Evidence: with the earlier code TestHomesChangeWhileServed failed in 14 of its 16 cases and TestHomesChangeWhileOffloaded, TestHomesChangeInQueue, TestHomesChangeBeforeStreamIsTakenUp, TestHomesChangeBeforeLastResort and TestHomesAtReceiver (4 of 11 cases, all with a change while the request is held) failed, for instance "arrivals here: want none, got u0; regions that got the body: want q, got none". All pass now, 20 times.

Change: checkHome finds the homes again if the configuration was replaced, else it compares a pointer. It is called before a request waits for a slot, before each attempt and before each relay, last. If this region is no home any more and nothing of the request may have run, it goes to one that is; else it gets the upstream's error or 502, a stream that has begun is broken off, and 503 stands for a request that did not run. Regions are chosen anew after each relay that was refused. A route that is gone gives 404, a key that is withdrawn 401, also before a relay; a key of another customer and a route that needs a key now give 503. The pool, priority and times stay. "placed" is logged after the check, so that it stands for a request that is sent.

Why it works: no path to an upstream or to another host is left that does not pass checkHome for the region concerned just before. What remains is the time in which a connection is established.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,11 +49,18 @@
 	}
 	excluded := map[string]bool{}
 	for {
+		if err := f.checkHome(r, f.Region); err != nil {
+			return err
+		}
 		queuedAt := f.Timer.Now()
 		reservation, err := f.Scheduler.Acquire(ctx, r.schedulerRequest(excluded))
 		if err != nil {
 			return err
 		}
+		if err := cmp.Or(f.checkHome(r, f.Region), f.recheckKey(r), f.checkQuarantine(r)); err != nil {
+			reservation.Release(scheduler.CallerLeft)
+			return err
+		}
 		t.logPlaced(reservation, queuedAt)
 		err = f.runAttempt(ctx, r, sink, t, reservation, s)
 		if err == nil {
@@ -106,10 +113,6 @@
 func (f *Forwarder) runAttempt(ctx context.Context, r *Request, sink Sink, t *trace, reservation *scheduler.Reservation, s *responseState) error {
 	outcome := scheduler.Failed
 	defer func() { reservation.Release(outcome) }()
-	if err := cmp.Or(f.recheckKey(r), f.checkQuarantine(r)); err != nil {
-		outcome = scheduler.CallerLeft
-		return err
-	}
 	ctx, cancel := f.attemptContext(ctx, r, s, reservation)
 	defer cancel()
 	err := f.send(ctx, r, sink, reservation, s)
--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -37,7 +37,7 @@
 	if r.customer != nil && r.customer.Priority != nil {
 		r.priority = int(*r.customer.Priority)
 	}
-	r.regions = homes(r.route, r.customer)
+	r.bind(x, homes(r.route, r.customer))
 	elapsed := f.deadlines.elapsed(r.route.Name, r.DeadlineAt-r.ArrivedAt)
 	r.objectiveAt = r.ArrivedAt + seconds(r.route.Objective) - elapsed
 	r.answerUntil = min(r.DeadlineAt, r.ArrivedAt+seconds(r.route.Timeout))
@@ -48,7 +48,7 @@
 // working within a bounded time even on a host that receives no updates, so every key is
 // refused unless the configuration was confirmed within MaxConfirmationAge.
 func (f *Forwarder) authenticate(r *Request, x *index) error {
-	if !x.requiresKey || r.route.Open {
+	if !x.needsKey(r.route) {
 		return nil
 	}
 	r.keyHash = HashExternalKey(r.Key)
@@ -62,19 +62,13 @@
 	return nil
 }
 
-// recheckKey checks the key again just before a request is sent, because the request may have
-// waited since.
+// recheckKey returns a refusal if the key, which was valid in the newest configuration, may have been withdrawn
+// since: the request may have waited.
 func (f *Forwarder) recheckKey(r *Request) error {
 	if r.customer == nil || r.relayed {
 		return nil
 	}
-	if err := f.checkFreshness(f.MaxConfirmationAge); err != nil {
-		return err
-	}
-	if f.index.Load().customer(r.keyHash) == nil {
-		return refuse(http.StatusUnauthorized, causeNoKey, 0)
-	}
-	return nil
+	return f.checkFreshness(f.MaxConfirmationAge)
 }
 
 // checkFreshness returns a refusal if the configuration was last confirmed longer ago than
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"net/http"
 	"slices"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -41,6 +43,56 @@
 	return x.homes[name], true
 }
 
+// errNotHome means that a region may not serve a request by the newest configuration.
+var errNotHome = errors.New("forwarder: the region is not a home of the request")
+
+// checkHome returns an error unless a region may serve the request by the newest configuration. It must be called
+// just before the request is sent to an upstream of this region or relayed to another one, as the configuration
+// that the request was identified by may have been replaced while it waited or was tried elsewhere.
+func (f *Forwarder) checkHome(r *Request, region string) error {
+	if err := f.rebind(r); err != nil {
+		return err
+	}
+	if !r.allows(region) {
+		return errors.Join(errNotHome, refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay))
+	}
+	return nil
+}
+
+// rebind finds the homes of a request again if the configuration was replaced. It returns a refusal if the newest
+// one does not let the request run for its customer any more. The pool, priority and times of the request stay.
+func (f *Forwarder) rebind(r *Request) error {
+	x := f.index.Load()
+	if x == r.index {
+		return nil
+	}
+	route := x.route(r.Host, r.Path)
+	customer := r.customer
+	switch {
+	case customer == nil:
+	case r.relayed:
+		customer = x.snapshot.Customer(customer.Name)
+	default:
+		customer = x.customer(r.keyHash)
+	}
+	switch {
+	case !r.relayed && route == nil:
+		return f.refuseUnlessStale(refuse(http.StatusNotFound, causeNoRoute, 0))
+	case !r.relayed && r.customer != nil && customer == nil:
+		return f.refuseUnlessStale(refuse(http.StatusUnauthorized, causeNoKey, 0))
+	case route == nil, customer.GetName() != r.Customer(), customer == nil && x.needsKey(route):
+		// The host that the caller or the relaying host asks next identifies it anew.
+		return refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
+	}
+	r.bind(x, homes(route, customer))
+	return nil
+}
+
+// bind sets the regions that may serve a request, and the configuration that says so.
+func (r *Request) bind(x *index, regions []string) {
+	r.index, r.configVersion, r.regions = x, x.snapshot.Version, regions
+}
+
 // allows reports whether a region may serve the request.
 func (r *Request) allows(region string) bool {
 	return r.regions == nil || slices.Contains(r.regions, region)
@@ -53,6 +105,17 @@
 	load, slots float64
 }
 
+// nextRegion returns the least loaded one of the other regions that may serve a request and were not asked;
+// empty if there is none.
+func (f *Forwarder) nextRegion(r *Request, asked map[string]bool) string {
+	for _, x := range f.otherRegions(r) {
+		if !asked[x.region] {
+			return x.region
+		}
+	}
+	return ""
+}
+
 // otherRegions returns the other regions that may serve a request, the least loaded first.
 func (f *Forwarder) otherRegions(r *Request) []regionLoad {
 	var all []regionLoad
--- a/internal/forwarder/index.go
+++ b/internal/forwarder/index.go
@@ -45,6 +45,9 @@
 	return nil
 }
 
+// needsKey reports whether requests on a route need an API key.
+func (x *index) needsKey(route *schema.Route) bool { return x.requiresKey && !route.Open }
+
 // customer returns the customer of the key with this hash; nil if there is no such key or it
 // is withdrawn.
 func (x *index) customer(hash string) *schema.Customer {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -29,7 +29,7 @@
 var errRelayFailed = errors.New("forwarder: relay through another region failed")
 
 // relay sends a request through one entry host of another region. After an error another region
-// may be asked unless r.mayHaveRun is set or the response has begun.
+// may be asked unless r.mayHaveRun is set or the response has begun. With errNotHome nothing was sent.
 func (f *Forwarder) relay(ctx context.Context, region string, r *Request, sink Sink, t *trace) error {
 	entry := f.entryHost(region)
 	if entry == nil {
@@ -40,11 +40,14 @@
 			return err
 		}
 	}
-	t.logRelayed(region, entry.Name)
 	conn, err := f.Dialer.Conn(entry.Internal)
 	if err != nil {
 		return errors.Join(errRelayFailed, err)
 	}
+	if err := f.checkHome(r, region); err != nil {
+		return err
+	}
+	t.logRelayed(region, entry.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.monitor.recordRequest(region, f.Timer.Now())
@@ -260,8 +263,8 @@
 			return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
 		}
 	}
-	r.regions = homes(r.route, r.customer)
-	if x.snapshot.Version < m.Version {
+	r.bind(x, homes(r.route, r.customer))
+	if x.snapshot.Version < m.Version || r.customer == nil && x.needsKey(r.route) {
 		return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
 	}
 	r.objectiveAt = now + seconds(m.Objective)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -40,12 +40,13 @@
 	pool          string
 	customer      *schema.Customer
 	keyHash       string   // of Key, by HashExternalKey
-	regions       []string // that may serve it; nil: any
+	regions       []string // that may serve it, by index; nil: any
+	index         *index   // configuration that regions come from
 	priority      int
 	chargedTokens float64
 	objectiveAt   time.Duration      // by which it should be answered, counted from the caller's first attempt
 	answerUntil   time.Duration      // earlier of the caller's deadline and the route's timeout
-	configVersion uint64             // of the configuration that routed it
+	configVersion uint64             // of index
 	relayed       bool               // by an entry host of another region
 	attempts      int                // upstreams that it was sent to, without misdirected attempts
 	reached       int                // upstreams that received it, also those that rejected it
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
@@ -12,10 +11,20 @@
 // dispatch serves a request in this region, or relays it to another one if this region may
 // not serve it, has no free slot, or offloads it.
 func (f *Forwarder) dispatch(ctx context.Context, r *Request, sink Sink, t *trace) error {
-	if !r.allows(f.Region) {
-		return f.serveRemotely(ctx, r, sink, t, refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay))
-	}
 	s := &responseState{}
+	err := f.serveHere(ctx, r, sink, t, s)
+	if errors.Is(err, errNotHome) && !r.mayHaveRun && ctx.Err() == nil {
+		err = f.serveRemotely(ctx, r, sink, t, err)
+	}
+	return f.finishAttempts(s, sink, err)
+}
+
+// serveHere serves a request in this region, or relays it to another one if this region has no free slot or
+// offloads it. It returns errNotHome once this region may not serve it.
+func (f *Forwarder) serveHere(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState) error {
+	if err := f.checkHome(r, f.Region); err != nil {
+		return err
+	}
 	if region := f.offloadRegion(r); region != "" {
 		err := f.relay(ctx, region, r, sink, t)
 		if err == nil || r.reached > 0 || r.mayHaveRun || errors.Is(err, errTruncated) || ctx.Err() != nil {
@@ -31,7 +40,7 @@
 	if noUpstream && r.reached == 0 && isNotServed(err) && ctx.Err() == nil {
 		err = f.serveAsLastResort(ctx, r, sink, t, s, err)
 	}
-	return f.finishAttempts(s, sink, err)
+	return err
 }
 
 // serveAsLastResort sends a request that nothing else serves to an upstream of this region that is leaving.
@@ -54,17 +63,28 @@
 // serveRemotely relays a request to other regions, the least loaded first, until one has a
 // free slot. Otherwise it returns the last region's error, or reason if none was asked.
 func (f *Forwarder) serveRemotely(ctx context.Context, r *Request, sink Sink, t *trace, reason error) error {
-	for _, x := range f.otherRegions(r) {
-		err := f.relay(ctx, x.region, r, sink, t)
+	asked := map[string]bool{}
+	for {
+		if err := f.rebind(r); err != nil {
+			return err
+		}
+		region := f.nextRegion(r, asked)
+		if region == "" {
+			return reason
+		}
+		asked[region] = true
+		err := f.relay(ctx, region, r, sink, t)
+		if errors.Is(err, errNotHome) {
+			continue
+		}
 		if err == nil || r.mayHaveRun || errors.Is(err, errTruncated) || ctx.Err() != nil {
 			return err
 		}
 		reason = err
 		if isQuarantined(err) || r.reached > 0 && !f.Budget.TakeRetry(r.pool) {
-			break
+			return reason
 		}
 	}
-	return reason
 }
 
 // lateFraction is the fraction of the latency objective that must remain when a request
