Check a relay once more when its connection is established

Cause: the homes, and the age of the configuration for requests with a key, were checked before grpc connected to the other host.

Ruled out: the call itself waits for nothing else; on a connection that is up the request is written at once.

Evidence: TestHomesChangeWhileServed/relayed_on_a_new_connection failed before: homes change from q and v to v while q accepts the connection, and q got the body.

Change: relay waits until the connection is established or has failed, and then checks again (checkRelay). A request whose deadline passes meanwhile gets 503 instead of 504: nothing of it was sent. The reply that the monitor waits for is counted from before, as it was, so that a region that cannot be reached is found as soon.

Why it works: a call on an established connection sends its request without waiting; on a failed one it fails at once, as it did.

--- a/internal/forwarder/home_test.go
+++ b/internal/forwarder/home_test.go
@@ -119,6 +119,26 @@
 	mu     sync.Mutex
 	got    []string          // regions that got a body; guarded by mu
 	before map[string]func() // called, once, before a region replies, which then refuses; guarded by mu
+	accept map[string]func() // called, once, before a region accepts a connection; guarded by mu
+}
+
+// hookedListener is the listener of a region.
+type hookedListener struct {
+	net.Listener
+	all  *otherRegions
+	name string
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.all.mu.Lock()
+	accept := l.all.accept[l.name]
+	delete(l.all.accept, l.name)
+	l.all.mu.Unlock()
+	if accept != nil && err == nil {
+		accept()
+	}
+	return c, err
 }
 
 type otherRegion struct {
@@ -140,6 +160,20 @@
 	return stream.Send(&schema.RelayReply{Number: 1, Status: 200, Chunk: []byte(x.name), Complete: true})
 }
 
+// onAccept sets what is called before a region accepts its next connection.
+func (x *otherRegions) onAccept(region string, do func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.accept[region] = do
+}
+
+// onRelay sets what is called before a region refuses the next request.
+func (x *otherRegions) onRelay(region string, do func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.before[region] = do
+}
+
 // regions returns the regions that got a body, in order.
 func (x *otherRegions) regions() []string {
 	x.mu.Lock()
@@ -150,7 +184,7 @@
 // connect starts a host in each of the named regions. The first ones are the least loaded.
 func (s *system) connect(t *testing.T, names ...string) *otherRegions {
 	t.Helper()
-	all := &otherRegions{before: map[string]func(){}}
+	all := &otherRegions{before: map[string]func(){}, accept: map[string]func(){}}
 	hosts := map[string][]*schema.Peer{}
 	var digests []*schema.RegionDigest
 	for i, name := range names {
@@ -163,7 +197,7 @@
 			t.Fatal(err)
 		}
 		schema.RegisterRelayServiceServer(server, &otherRegion{all: all, name: name})
-		go func() { _ = server.Serve(l) }()
+		go func() { _ = server.Serve(hookedListener{l, all, name}) }()
 		t.Cleanup(server.Stop)
 		hosts[name] = []*schema.Peer{{Name: name, Region: name, Internal: l.Addr().String(), Ready: true}}
 		digests = append(digests, &schema.RegionDigest{Region: name, Routes: []*schema.ModelDigest{{Name: "p", Slots: 10, Running: int32(i)}}})
@@ -274,17 +308,22 @@
 		}, passedOn("v"), nil, []string{"v"}},
 		{"relayed to one region after another", "/unsafe/x", "", func(s *system, o *otherRegions) (scriptStep, scriptStep) {
 			s.rebind("unsafe", "q", "v")
-			o.before["q"] = func() { s.rebind("unsafe", "q", "w") }
+			o.onRelay("q", func() { s.rebind("unsafe", "q", "w") })
 			return text(200, "here"), text(200, "here")
 		}, passedOn("w"), nil, []string{"q", "w"}},
+		{"relayed on a new connection", "/unsafe/x", "", func(s *system, o *otherRegions) (scriptStep, scriptStep) {
+			s.rebind("unsafe", "q", "v")
+			o.onAccept("q", func() { s.rebind("unsafe", "v") })
+			return text(200, "here"), text(200, "here")
+		}, passedOn("v"), nil, []string{"v"}},
 		{"relayed, customer bound", "/keyed/x", "k", func(s *system, o *otherRegions) (scriptStep, scriptStep) {
 			s.rebindCustomer("q", "v")
-			o.before["q"] = func() { s.rebindCustomer("w") }
+			o.onRelay("q", func() { s.rebindCustomer("w") })
 			return text(200, "here"), text(200, "here")
 		}, passedOn("w"), nil, []string{"q", "w"}},
 		{"relayed, key withdrawn", "/keyed/x", "k", func(s *system, o *otherRegions) (scriptStep, scriptStep) {
 			s.rebindCustomer("q", "v")
-			o.before["q"] = func() { s.without("key/" + HashExternalKey("k")) }
+			o.onRelay("q", func() { s.without("key/" + HashExternalKey("k")) })
 			return text(200, "here"), text(200, "here")
 		}, result{Status: 401, Cause: causeNoKey}, nil, []string{"q"}},
 		{"placed, route needs a key now", "/unsafe/x", "", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
@@ -427,7 +466,7 @@
 		{Name: "u0", Address: s.upstream(t, "u0", []scriptStep{text(200, "here")}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1, Leaving: true},
 	})
 	s.Scheduler.UpdateLeaving(map[string]time.Duration{"u0": s.Timer.Now() + time.Minute})
-	o.before["q"] = func() { s.rebind("unsafe", "q") }
+	o.onRelay("q", func() { s.rebind("unsafe", "q") })
 	if diff := cmp.Diff(result{Status: 200, Body: "q", Finished: true}, s.call("/unsafe/x", "")); diff != "" {
 		t.Errorf("-want +got\n%s", diff)
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
@@ -35,22 +36,23 @@
 	if entry == nil {
 		return refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay)
 	}
-	if r.customer != nil {
-		if err := f.checkFreshness(f.MaxConfirmationAge - relayAgeMargin); err != nil {
-			return err
-		}
-	}
 	conn, err := f.Dialer.Conn(entry.Internal)
 	if err != nil {
 		return errors.Join(errRelayFailed, err)
 	}
-	if err := f.checkHome(r, region); err != nil {
+	if err := f.checkRelay(r, region); err != nil {
 		return err
 	}
 	t.logRelayed(region, entry.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.monitor.recordRequest(region, f.Timer.Now())
+	if err := connect(ctx, conn); err != nil {
+		return errors.Join(errRelayFailed, err)
+	}
+	if err := f.checkRelay(r, region); err != nil {
+		return err // a probe settles the reply that is recorded as due
+	}
 	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.newRelayRequest(r))
 	if err != nil {
 		return f.relayError(r, err)
@@ -58,6 +60,26 @@
 	return f.forwardReplies(r, sink, stream, region)
 }
 
+// checkRelay returns an error if a request may not be relayed to a region.
+func (f *Forwarder) checkRelay(r *Request, region string) error {
+	if err := f.checkHome(r, region); err != nil || r.customer == nil {
+		return err
+	}
+	return f.checkFreshness(f.MaxConfirmationAge - relayAgeMargin)
+}
+
+// connect waits until a connection is established, so that a call on it is sent at once, or the attempt to establish
+// it has failed, which a call on it reports. Its error means that ctx ended.
+func connect(ctx context.Context, conn *grpc.ClientConn) error {
+	for state := conn.GetState(); state == connectivity.Idle || state == connectivity.Connecting; state = conn.GetState() {
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, state) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // entryHost returns an entry host of a region, nil if none is ready. Each host uses only a
 // few of them, so that connections between regions do not grow with the square of the hosts.
 func (f *Forwarder) entryHost(region string) *schema.Peer {
