Check an attempt once more when its connection is established

Cause: the homes, the key and the quarantine were checked before the pool opened a connection to the upstream, which may take 700 ms; the request was sent then without another look.

Ruled out: connections that are kept, on which a request is written at once.

Evidence: three cases of TestHomesChangeWhileServed ("connected", for another attempt at a stream, with a key that is withdrawn) failed before in 3 runs of 3: the upstream got the request. They pass now, 40 times, and 10 times under the race detector. A first form of the stream's case failed with the fix too: it counted dials, and a probe of the first upstream is one; it goes by the address now.

Change: pooler.SendOptions has a Check, which Send calls where it checks Until, with a connection and before the first byte. The forwarder passes checkSend, the same check as before the attempt. An attempt that it ends does not count against the upstream.

Why it works: nothing waits between the check and the first byte.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return err
 		}
-		if err := cmp.Or(f.checkHome(r, f.Region), f.recheckKey(r), f.checkQuarantine(r)); err != nil {
+		if err := f.checkSend(r); err != nil {
 			reservation.Release(scheduler.CallerLeft)
 			return err
 		}
@@ -73,6 +73,12 @@
 	}
 }
 
+// checkSend returns an error if a request may not be sent to an upstream of this region, although it might be
+// when it arrived.
+func (f *Forwarder) checkSend(r *Request) error {
+	return cmp.Or(f.checkHome(r, f.Region), f.recheckKey(r), f.checkQuarantine(r))
+}
+
 // finishAttempts returns the result of a request after its last attempt. If an upstream
 // responded with an error and nothing better came, it forwards that response.
 func (f *Forwarder) finishAttempts(s *responseState, sink Sink, err error) error {
@@ -157,9 +163,12 @@
 var errNoResponse = errors.New("forwarder: no response from the upstream in time")
 
 func outcomeOf(ctx context.Context, err error) scheduler.Outcome {
+	var refusal *Refusal
 	switch {
 	case err == nil:
 		return scheduler.Answered
+	case errors.As(err, &refusal): // by checkSend
+		return scheduler.CallerLeft
 	case errors.Is(err, pooler.ErrNotSent):
 		return scheduler.Unreachable
 	case errors.Is(err, errMisdirected):
@@ -181,7 +190,10 @@
 	}
 	s.run = f.observe(r, reservation)
 	s.unframed, s.firstEventID = false, ""
-	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
+	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{
+		ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil,
+		Check: func() error { return f.checkSend(r) },
+	})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
 	}
--- a/internal/forwarder/home_test.go
+++ b/internal/forwarder/home_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -277,6 +278,23 @@
 			placing(s, func() { s.rebindCustomer("v") })
 			return text(200, "here"), text(200, "here")
 		}, passedOn("v"), nil, []string{"v"}},
+		{"connected", "/unsafe/x", "", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
+			s.Pool.OnDial = func(string) { s.rebind("unsafe", "q") }
+			return text(200, "here"), text(200, "here")
+		}, passedOn("q"), nil, []string{"q"}},
+		{"connected, for another attempt at a stream", "/resume/x", "", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
+			var first atomic.Pointer[string]
+			s.Pool.OnDial = func(address string) { // also for probes of the first upstream
+				if !first.CompareAndSwap(nil, &address) && *first.Load() != address {
+					s.rebind("resume", "q")
+				}
+			}
+			return truncate(firstEvent), text(200, secondEvent)
+		}, result{Status: 200, Body: firstEvent, Aborted: true}, []string{"u0"}, nil},
+		{"connected, key withdrawn", "/keyed/x", "k", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
+			s.Pool.OnDial = func(string) { s.without("key/" + HashExternalKey("k")) }
+			return text(200, "here"), text(200, "here")
+		}, result{Status: 401, Cause: causeNoKey}, nil, nil},
 		{"placed, route gone", "/unsafe/x", "", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
 			placing(s, func() { s.without("route/h/unsafe/") })
 			return text(200, "here"), text(200, "here")
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -158,6 +158,9 @@
 	RecentOnly bool
 	// Until is the time on the clock of Timer after which the request is not sent; 0: none.
 	Until time.Duration
+	// Check is called once there is a connection, just before the request is sent. After an error, which the error
+	// of Send wraps, it is not. Nil: not called.
+	Check func() error
 }
 
 // Send writes a request and reads the header of the response. When ctx ends, the
@@ -175,6 +178,12 @@
 		_ = c.Conn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
 	}
+	if o.Check != nil {
+		if err := o.Check(); err != nil {
+			_ = c.Conn.Close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	c.used = true
 	call := &Call{id: o.ID, pool: p, conn: c, Reused: reused, writeDone: make(chan error, 1)}
 	call.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
