--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,11 +49,18 @@
 	}
 	excluded := map[string]bool{}
 	for {
+		if err := f.checkHome(r, f.Region); err != nil {
+			return err
+		}
 		queuedAt := f.Timer.Now()
 		reservation, err := f.Scheduler.Acquire(ctx, r.schedulerRequest(excluded))
 		if err != nil {
 			return err
 		}
+		if err := f.checkSend(r); err != nil {
+			reservation.Release(scheduler.CallerLeft)
+			return err
+		}
 		t.logPlaced(reservation, queuedAt)
 		err = f.runAttempt(ctx, r, sink, t, reservation, s)
 		if err == nil {
@@ -66,6 +73,12 @@
 	}
 }
 
+// checkSend returns an error if a request may not be sent to an upstream of this region, although it might be
+// when it arrived.
+func (f *Forwarder) checkSend(r *Request) error {
+	return cmp.Or(f.checkHome(r, f.Region), f.recheckKey(r), f.checkQuarantine(r))
+}
+
 // finishAttempts returns the result of a request after its last attempt. If an upstream
 // responded with an error and nothing better came, it forwards that response.
 func (f *Forwarder) finishAttempts(s *responseState, sink Sink, err error) error {
@@ -106,10 +119,6 @@
 func (f *Forwarder) runAttempt(ctx context.Context, r *Request, sink Sink, t *trace, reservation *scheduler.Reservation, s *responseState) error {
 	outcome := scheduler.Failed
 	defer func() { reservation.Release(outcome) }()
-	if err := cmp.Or(f.recheckKey(r), f.checkQuarantine(r)); err != nil {
-		outcome = scheduler.CallerLeft
-		return err
-	}
 	ctx, cancel := f.attemptContext(ctx, r, s, reservation)
 	defer cancel()
 	err := f.send(ctx, r, sink, reservation, s)
@@ -154,9 +163,12 @@
 var errNoResponse = errors.New("forwarder: no response from the upstream in time")
 
 func outcomeOf(ctx context.Context, err error) scheduler.Outcome {
+	var refusal *Refusal
 	switch {
 	case err == nil:
 		return scheduler.Answered
+	case errors.As(err, &refusal): // by checkSend
+		return scheduler.CallerLeft
 	case errors.Is(err, pooler.ErrNotSent):
 		return scheduler.Unreachable
 	case errors.Is(err, errMisdirected):
@@ -178,7 +190,10 @@
 	}
 	s.run = f.observe(r, reservation)
 	s.unframed, s.firstEventID = false, ""
-	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil})
+	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{
+		ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil,
+		Check: func() error { return f.checkSend(r) },
+	})
 	if errors.Is(err, pooler.ErrNotSent) {
 		return err
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
@@ -30,16 +31,14 @@
 var errRelayFailed = errors.New("forwarder: relay through another region failed")
 
 // relay sends a request through one entry host of another region. After an error another region
-// may be asked unless r.mayHaveRun is set or the response has begun.
+// may be asked unless r.mayHaveRun is set or the response has begun. With errNotHome nothing was sent.
 func (f *Forwarder) relay(ctx context.Context, region string, r *Request, sink Sink, t *trace) error {
 	hosts := f.hostsInRandomOrder(region)
 	if len(hosts) == 0 {
 		return refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay)
 	}
-	if r.customer != nil {
-		if err := f.checkFreshness(f.MaxConfirmationAge - relayAgeMargin); err != nil {
-			return err
-		}
+	if err := f.checkRelay(r, region); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -47,8 +46,7 @@
 	var stream grpc.ServerStreamingClient[schema.RelayReply]
 	var err error
 	for _, entry := range hosts {
-		if stream, err = f.openRelay(ctx, entry, r); !errors.Is(err, dialer.ErrWrongPeer) {
-			t.logRelayed(region, entry.Name)
+		if stream, err = f.openRelay(ctx, region, entry, r, t); !errors.Is(err, dialer.ErrWrongPeer) {
 			break
 		}
 		f.Metrics.relaysWithheld.Inc()
@@ -59,26 +57,62 @@
 	return f.forwardReplies(r, sink, stream, region)
 }
 
-// openRelay sends a request to an entry host of another region. A process of another host may have the host's
-// address by now: a request that is bound to regions is sent only on a connection on which the peer has
-// named itself as the host. Hosts of earlier versions do not name themselves.
-func (f *Forwarder) openRelay(ctx context.Context, entry *schema.Peer, r *Request) (grpc.ServerStreamingClient[schema.RelayReply], error) {
+// checkRelay returns an error if a request may not be relayed to a region.
+func (f *Forwarder) checkRelay(r *Request, region string) error {
+	if err := f.checkHome(r, region); err != nil || r.customer == nil {
+		return err
+	}
+	return f.checkFreshness(f.MaxConfirmationAge - relayAgeMargin)
+}
+
+// connect waits until a connection is established, so that a call on it is sent at once, or the attempt to establish
+// it has failed, which a call on it reports. Its error means that ctx ended.
+func connect(ctx context.Context, conn *grpc.ClientConn) error {
+	for state := conn.GetState(); state == connectivity.Idle || state == connectivity.Connecting; state = conn.GetState() {
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, state) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// openRelay sends a request to an entry host of another region, which is asked for its name first if a request
+// that is bound to regions is the first one on the connection.
+func (f *Forwarder) openRelay(ctx context.Context, region string, entry *schema.Peer, r *Request, t *trace) (grpc.ServerStreamingClient[schema.RelayReply], error) {
 	conn, err := f.Dialer.Conn(entry.Internal)
 	if err != nil {
 		return nil, errors.Join(errRelayFailed, err)
 	}
-	client := schema.NewRelayServiceClient(conn)
-	var opts []grpc.CallOption
-	if r.regions != nil {
-		opts = append(opts, dialer.Expect(dialer.Peer{Host: entry.Name, Region: entry.Region}))
+	if err := connect(ctx, conn); err != nil {
+		return nil, errors.Join(errRelayFailed, err)
 	}
-	stream, err := client.Relay(ctx, f.newRelayRequest(r), opts...)
+	stream, err := f.sendRelay(ctx, conn, region, entry, r, t)
 	if errors.Is(err, dialer.ErrUnknownPeer) {
 		if err := f.acknowledge(ctx, conn); err != nil {
 			return nil, errors.Join(errRelayFailed, err)
 		}
-		stream, err = client.Relay(ctx, f.newRelayRequest(r), opts...)
+		stream, err = f.sendRelay(ctx, conn, region, entry, r, t)
 	}
+	return stream, err
+}
+
+// sendRelay sends a request on an established connection. A process of another host may have the address by
+// now: a request that is bound to regions is sent only if the peer has named itself as the host on this
+// connection. Hosts of earlier versions do not name themselves.
+func (f *Forwarder) sendRelay(ctx context.Context, conn *grpc.ClientConn, region string, entry *schema.Peer, r *Request, t *trace) (grpc.ServerStreamingClient[schema.RelayReply], error) {
+	if err := f.checkRelay(r, region); err != nil {
+		return nil, err // a probe settles the reply that is recorded as due
+	}
+	var opts []grpc.CallOption
+	if r.regions != nil {
+		opts = append(opts, dialer.Expect(dialer.Peer{Host: entry.Name, Region: entry.Region}))
+	}
+	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.newRelayRequest(r), opts...)
+	if dialer.NotSent(err) {
+		return nil, errors.Join(errRelayFailed, err)
+	}
+	t.logRelayed(region, entry.Name)
 	if err != nil {
 		return nil, f.relayError(r, err)
 	}
@@ -309,7 +343,7 @@
 	}
 	r.configVersion = x.snapshot.Version
 	r.route = x.route(r.Host, r.Path)
-	if r.route == nil || x.snapshot.Version < m.Version {
+	if r.route == nil {
 		return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
 	}
 	if m.Customer != "" {
@@ -317,7 +351,10 @@
 			return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
 		}
 	}
-	r.regions = homes(r.route, r.customer)
+	r.bind(x, homes(r.route, r.customer))
+	if x.snapshot.Version < m.Version || r.customer == nil && x.needsKey(r.route) {
+		return r, refuse(http.StatusServiceUnavailable, causeStale, staleRetryDelay)
+	}
 	r.objectiveAt = now + seconds(m.Objective)
 	r.answerUntil = min(r.DeadlineAt, r.ArrivedAt+seconds(r.route.Timeout))
 	serves := slices.ContainsFunc(r.route.Targets, func(t *schema.Target) bool { return t.Pool == r.pool && t.Weight > 0 })
