Directory: weigh the routes of a name by their use

With the change before, callers whose own region has no host got none at all once a few routes of a name have other homes than the rest: no region may serve all of them.

Now a region is listed if 97 in 100 of this host's requests on routes with homes may be served there, and as before while too few were counted.

--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -38,6 +38,7 @@
 		r.priority = int(*r.customer.Priority)
 	}
 	r.bind(x, homes(r.route, r.customer))
+	f.usage.record(r.route.Name)
 	elapsed := f.deadlines.elapsed(r.route.Name, r.DeadlineAt-r.ArrivedAt)
 	r.objectiveAt = r.ArrivedAt + seconds(r.route.Objective) - elapsed
 	r.answerUntil = min(r.DeadlineAt, r.ArrivedAt+seconds(r.route.Timeout))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,6 +77,7 @@
 	stop          stopState
 	durations     durationHistory
 	leavers       leaverSet
+	usage         routeUsage
 	inflight      atomic.Int64
 }
 
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -33,14 +34,90 @@
 	return both
 }
 
-// NameHomes returns the regions in which every route of a host name may be served, nil for any. It returns
-// false if no configuration is in force yet.
+// NameHomes returns the regions whose hosts callers may be sent to for a host name: those in which nearly all of
+// its requests on routes with homes may be served, by their number at this host; while that is not known, those
+// in which every route may. Nil means any region. It returns false if no configuration is in force yet.
 func (f *Forwarder) NameHomes(name string) ([]string, bool) {
 	x := f.index.Load()
 	if x == nil || x.snapshot.DocumentNumber() == 0 {
 		return nil, false
 	}
-	return x.homes[name], true
+	common := x.homes[name]
+	if common == nil {
+		return nil, true
+	}
+	if used := f.usage.homes(x.routes[name]); used != nil {
+		return used, true
+	}
+	return common, true
+}
+
+const (
+	// Fraction of the requests on routes with homes that must be at home in a region for callers to be sent
+	// there. The hosts there pass the others on or refuse them.
+	minHomeFraction = 0.97
+	// Number of requests from which the fraction is known.
+	minHomeRequests = 30
+	// Number of counted requests above which all counts are halved, so that older ones weigh less.
+	maxCountedRequests = 4096
+)
+
+// routeUsage counts callers' requests by route.
+type routeUsage struct {
+	mu     sync.Mutex
+	counts map[string]float64 // by name of the route; guarded by mu
+	total  float64            // guarded by mu
+}
+
+func (u *routeUsage) record(route string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.counts == nil {
+		u.counts = map[string]float64{}
+	}
+	u.counts[route]++
+	u.total++
+	if u.total <= maxCountedRequests {
+		return
+	}
+	u.total = 0
+	for name, n := range u.counts {
+		if n /= 2; n < 0.5 {
+			delete(u.counts, name)
+			continue
+		}
+		u.counts[name] = n
+		u.total += n
+	}
+}
+
+// homes returns the regions in which minHomeFraction of the requests on those of the routes that have homes may
+// be served; nil if there were too few.
+func (u *routeUsage) homes(routes []*schema.Route) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	total, atHome := 0.0, map[string]float64{}
+	for _, r := range routes {
+		n := u.counts[r.Name]
+		if len(r.Regions) == 0 || n == 0 {
+			continue
+		}
+		total += n
+		for _, region := range r.Regions {
+			atHome[region] += n
+		}
+	}
+	if total < minHomeRequests {
+		return nil
+	}
+	regions := []string{}
+	for region, n := range atHome {
+		if n >= minHomeFraction*total {
+			regions = append(regions, region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
 }
 
 // errNotHome means that a region may not serve a request by the newest configuration.
