Do not answer 401 to a request whose route needs no key any more

What callers saw: 401 for a request with a key that was valid when it came, if its key or customer went away in the same configuration that opened its route or removed the last customer. The older configuration allowed the request with its key, the newest allows it without one.

Cause: rebind looked up the key's customer without asking whether the newest configuration wants a key at all. identify, for a request that comes now, does ask.

Ruled out: relayed requests, which already got 503; routes that still need a key, which still get 401.

Change: without a need for a key the request falls to the case of another customer: 503, not run, and its next try is identified anew.

A test is changed: "placed, customer gone" took away the only customer, with which the need for a key ended too, and wanted 401. It now adds another customer, so that a key is still needed, and wants 401 as before; the former situation is the second new case. The first form was wrong: a configuration without customers asks for no key.

--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -78,7 +78,7 @@
 	switch {
 	case !r.relayed && route == nil:
 		return f.refuseUnlessStale(refuse(http.StatusNotFound, causeNoRoute, 0))
-	case !r.relayed && r.customer != nil && customer == nil:
+	case !r.relayed && r.customer != nil && customer == nil && x.needsKey(route):
 		return f.refuseUnlessStale(refuse(http.StatusUnauthorized, causeNoKey, 0))
 	case route == nil, customer.GetName() != r.Customer(), customer == nil && x.needsKey(route):
 		// The host that the caller or the relaying host asks next identifies it anew.
--- a/internal/forwarder/home_test.go
+++ b/internal/forwarder/home_test.go
@@ -306,9 +306,18 @@
 			return text(200, "here"), text(200, "here")
 		}, result{Status: 404, Cause: causeNoRoute}, nil, nil},
 		{"placed, customer gone", "/keyed/x", "k", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
-			placing(s, func() { s.without("customer/c") })
+			placing(s, func() {
+				s.change(func(items []*schema.Item) []*schema.Item {
+					items = slices.DeleteFunc(items, func(it *schema.Item) bool { return it.Path == "customer/c" })
+					return append(items, &schema.Item{Path: "customer/d", Value: &schema.Item_Customer{Customer: &schema.Customer{Name: "d"}}})
+				})
+			})
 			return text(200, "here"), text(200, "here")
 		}, result{Status: 401, Cause: causeNoKey}, nil, nil},
+		{"placed, last customer gone, so that no key is needed", "/keyed/x", "k", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
+			placing(s, func() { s.without("customer/c") })
+			return text(200, "here"), text(200, "here")
+		}, result{Status: 503, Cause: causeStale}, nil, nil},
 		{"rejected, then tried again", "/unsafe/x", "", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
 			return calling(func() { s.rebind("unsafe", "q") }, rejected), text(200, "here")
 		}, passedOn("q"), []string{"u0"}, []string{"q"}},
@@ -359,6 +368,15 @@
 			})
 			return text(200, "here"), text(200, "here")
 		}, result{Status: 503, Cause: causeStale}, nil, nil},
+		{"placed, route needs no key now and the key is gone", "/keyed/x", "k", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
+			placing(s, func() {
+				s.change(func(items []*schema.Item) []*schema.Item {
+					items[slices.IndexFunc(items, func(it *schema.Item) bool { return it.Path == "route/h/keyed/" })].GetRoute().Open = true
+					return slices.DeleteFunc(items, func(it *schema.Item) bool { return it.GetKey() != nil })
+				})
+			})
+			return text(200, "here"), text(200, "here")
+		}, result{Status: 503, Cause: causeStale}, nil, nil},
 		{"placed, key of another customer now", "/keyed/x", "k", func(s *system, _ *otherRegions) (scriptStep, scriptStep) {
 			placing(s, func() {
 				s.change(func(items []*schema.Item) []*schema.Item {
