Directory: list only hosts of the homes to callers that name no region

What callers saw: a caller that asks the directory without a region was given the ready hosts of all regions, also those outside the homes of the name.

Cause: the table takes an empty region for all, so such a list counted as the ready hosts of the caller's own region, and the homes were not looked at.

Evidence: TestDirectoryKeepsToHomes with a caller of no region for a bound name listed c1 of region c; now b1 and b2 only. For a name without homes all are listed, as before.

Change: hosts of the caller's own region are looked for only if it named one; else the homes decide.

--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -238,11 +238,13 @@
 
 // selectHosts returns the hosts that callers of a region may use for a host name, and which they are.
 func (e *Entry) selectHosts(name, region string) (listSource, []*schema.Peer) {
-	if hosts := e.withOwnState(region, e.Table.ReadyHosts(region)); len(hosts) > 0 {
-		return listReady, hosts
-	}
-	if hosts := e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin); len(hosts) > 0 {
-		return listStopping, hosts
+	if region != "" { // the table takes an empty one for all regions
+		if hosts := e.withOwnState(region, e.Table.ReadyHosts(region)); len(hosts) > 0 {
+			return listReady, hosts
+		}
+		if hosts := e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin); len(hosts) > 0 {
+			return listStopping, hosts
+		}
 	}
 	if hosts := e.hostsOfHomes(name); len(hosts) > 0 {
 		return listOtherRegions, hosts
--- a/internal/starter/home_test.go
+++ b/internal/starter/home_test.go
@@ -60,6 +60,8 @@
 		{"bound", "a", all[3:], nil},
 		{"bound", "c", all, []string{"c1"}}, // callers of a region may use its hosts
 		{"bound", "d", all, []string{"b1", "b2"}},
+		{"bound", "", all, []string{"b1", "b2"}}, // callers that name no region
+		{"free", "", all, []string{"b1", "b2", "c1"}},
 		{"free", "a", append(slices.Clone(all), readyHost("a2", "a")), []string{"a2"}},
 		{"bound", "a", append(slices.Clone(all), readyHost("a2", "a")), []string{"a2"}},
 	} {
