Check a relay also when grpc establishes its connection again

What callers saw: a body sent to a region that is no home any more.

Cause: relay checks the homes, and for requests with a key the age of the configuration, once the connection is established. If that breaks before the call is written, or the other host's process closes it and has not processed the call, grpc connects and sends by itself, after up to a second, without another check. Requests with homes had the check of the peer's name there, which fails on a new connection; requests that had no homes when they were checked, but have some by then, had none.

Ruled out: connect (relay.go), which waits only before the check; a connection that is up, on which the call is written at once.

Change: dialer.Check takes the place of Expect: a function that grpc calls for each attempt of a call on the connection that it is about to use. A relay checks there what it checked before the call, and then the peer's name, by the homes that hold at that moment.

Tests changed: TestExpect makes its option from Check and CheckPeer instead of Expect; its cases are the same. The listener of otherRegions keeps the last connection, so that a test can close it.

--- a/internal/dialer/peer.go
+++ b/internal/dialer/peer.go
@@ -23,12 +23,14 @@
 )
 
 var (
-	// ErrUnknownPeer is returned for a call with Expect on a connection on which the peer has not been
+	// ErrUnknownPeer is returned by CheckPeer for a connection on which the peer has not been
 	// asked for its name. Nothing of the call was sent.
 	ErrUnknownPeer = status.Error(codes.Unavailable, "dialer: the peer has not been asked for its name")
-	// ErrWrongPeer is returned for a call with Expect on a connection to another host, or to one of a
+	// ErrWrongPeer is returned by CheckPeer for a connection to another host, or to one of a
 	// version that does not name itself. Nothing of the call was sent.
 	ErrWrongPeer = status.Error(codes.Unavailable, "dialer: the peer is not the expected host")
+	// ErrWithheld is for functions that are passed to Check.
+	ErrWithheld = status.Error(codes.Unavailable, "dialer: the call may not be sent any more")
 )
 
 // Peer is the host that a process belongs to. The zero Peer stands for a process of a version that does not
@@ -45,37 +47,48 @@
 	return p.Host + " of region " + p.Region
 }
 
-// Expect makes a call fail, before anything of it is sent, unless the process at the other end of the very
-// connection that it is sent on has named itself as p. It costs no round trip.
-func Expect(p Peer) grpc.CallOption { return grpc.PerRPCCredentials(expectation{p}) }
-
-// NotSent reports whether a call failed since the peer is not known to be the expected host: nothing that it
-// sent was processed.
-func NotSent(err error) bool { return errors.Is(err, ErrUnknownPeer) || errors.Is(err, ErrWrongPeer) }
-
-// expectation is checked for each attempt of a call, on the connection that the attempt uses.
-type expectation struct{ Peer }
+// Check makes a call fail, before anything of it is sent, if check returns an error, which should have a gRPC
+// status. It is called for each attempt of the call, also one that grpc makes by itself on a new connection, once
+// the connection is established, and with a context for CheckPeer. It costs no round trip.
+func Check(check func(ctx context.Context) error) grpc.CallOption {
+	return grpc.PerRPCCredentials(attemptCheck(check))
+}
 
-// GetRequestMetadata returns no metadata, or the error for which the call is not sent.
-func (x expectation) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
+// CheckPeer returns an error unless the process at the other end of the very connection that a call is sent on has
+// named itself as p.
+func CheckPeer(ctx context.Context, p Peer) error {
 	r, _ := credentials.RequestInfoFromContext(ctx)
 	c, ok := r.AuthInfo.(*connection)
 	if !ok {
-		return nil, ErrUnknownPeer
+		return ErrUnknownPeer
 	}
-	return nil, c.check(x.Peer)
+	return c.check(p)
+}
+
+// NotSent reports whether a call failed since the peer is not known to be the expected host, or with ErrWithheld:
+// nothing that it sent was processed.
+func NotSent(err error) bool {
+	return errors.Is(err, ErrUnknownPeer) || errors.Is(err, ErrWrongPeer) || errors.Is(err, ErrWithheld)
+}
+
+// attemptCheck is called for each attempt of a call, on the connection that the attempt uses.
+type attemptCheck func(context.Context) error
+
+// GetRequestMetadata returns no metadata, or the error for which the call is not sent.
+func (x attemptCheck) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
+	return nil, x(ctx)
 }
 
 // RequireTransportSecurity returns false: nothing secret is sent.
-func (expectation) RequireTransportSecurity() bool { return false }
+func (attemptCheck) RequireTransportSecurity() bool { return false }
 
 // SendPeer names the process that serves a stream to its client. It must be called before the first reply.
 func SendPeer(s grpc.ServerStream, p Peer) error {
 	return s.SetHeader(metadata.Pairs(peerHostHeader, p.Host, peerRegionHeader, p.Region))
 }
 
-// LearnPeer stores how the process at the other end of a stream named itself, for later calls with Expect on
-// the connection of that stream. It must be called after the first reply.
+// LearnPeer stores how the process at the other end of a stream named itself, for CheckPeer on the
+// connection of that stream. It must be called after the first reply.
 func LearnPeer(s grpc.ClientStream) error {
 	header, err := s.Header()
 	if err != nil {
--- a/internal/dialer/peer_test.go
+++ b/internal/dialer/peer_test.go
@@ -36,6 +36,7 @@
 // ASCII.
 func TestExpect(t *testing.T) {
 	want := Peer{Host: "hôte", Region: "région"}
+	expect := Check(func(ctx context.Context) error { return CheckPeer(ctx, want) })
 	for _, c := range []struct {
 		name string
 		peer Peer
@@ -82,14 +83,14 @@
 				}
 				return nil
 			}
-			if err := call(Expect(want)); !errors.Is(err, ErrUnknownPeer) || status.Code(err) != codes.Unavailable {
+			if err := call(expect); !errors.Is(err, ErrUnknownPeer) || status.Code(err) != codes.Unavailable {
 				t.Errorf("%s, TLS %v: before it named itself: %v", c.name, files != nil, err)
 			}
 			if err := call(); err != nil {
 				t.Errorf("%s, TLS %v: without an expectation: %v", c.name, files != nil, err)
 			}
 			for range 2 {
-				if err := call(Expect(want)); !errors.Is(err, c.err) || c.err != nil && status.Code(err) != codes.Unavailable {
+				if err := call(expect); !errors.Is(err, c.err) || c.err != nil && status.Code(err) != codes.Unavailable {
 					t.Errorf("%s, TLS %v: got %v, want %v", c.name, files != nil, err, c.err)
 				}
 			}
--- a/internal/forwarder/home_test.go
+++ b/internal/forwarder/home_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/testing/protocmp"
 
@@ -118,9 +119,10 @@
 // otherRegions are hosts of other regions, one each, that answer what is relayed to them.
 type otherRegions struct {
 	mu     sync.Mutex
-	got    []string          // regions that got a body; guarded by mu
-	before map[string]func() // called, once, before a region replies, which then refuses; guarded by mu
-	accept map[string]func() // called, once, before a region accepts a connection; guarded by mu
+	got    []string            // regions that got a body; guarded by mu
+	before map[string]func()   // called, once, before a region replies, which then refuses; guarded by mu
+	accept map[string]func()   // called, once, before a region accepts a connection; guarded by mu
+	conns  map[string]net.Conn // the last connection that a region accepted; guarded by mu
 }
 
 // hookedListener is the listener of a region.
@@ -135,6 +137,7 @@
 	l.all.mu.Lock()
 	accept := l.all.accept[l.name]
 	delete(l.all.accept, l.name)
+	l.all.conns[l.name] = c
 	l.all.mu.Unlock()
 	if accept != nil && err == nil {
 		accept()
@@ -174,6 +177,13 @@
 	x.accept[region] = do
 }
 
+// cut closes the last connection that a region accepted.
+func (x *otherRegions) cut(region string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_ = x.conns[region].Close()
+}
+
 // onRelay sets what is called before a region refuses the next request.
 func (x *otherRegions) onRelay(region string, do func()) {
 	x.mu.Lock()
@@ -191,7 +201,7 @@
 // connect starts a host in each of the named regions. The first ones are the least loaded.
 func (s *system) connect(t *testing.T, names ...string) *otherRegions {
 	t.Helper()
-	all := &otherRegions{before: map[string]func(){}, accept: map[string]func(){}}
+	all := &otherRegions{before: map[string]func(){}, accept: map[string]func(){}, conns: map[string]net.Conn{}}
 	hosts := map[string][]*schema.Peer{}
 	var digests []*schema.RegionDigest
 	for i, name := range names {
@@ -441,6 +451,34 @@
 	}
 }
 
+// TestHomesChangeWhileReconnecting guards against a body that is sent to a region that is no home any more: the
+// connection breaks after the last check of the homes, and they change while the call waits for it to be
+// established again.
+func TestHomesChangeWhileReconnecting(t *testing.T) {
+	s := newSystem(t)
+	o := s.connect(t, "q", "v")
+	conn, err := s.Dialer.Conn(s.EntryHosts("q")[0].Internal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken := false
+	s.ConfirmationAge = func() (time.Duration, bool) {
+		if conn.GetState() == connectivity.Ready && !broken {
+			broken = true
+			o.onAccept("q", func() { s.rebindCustomer("v") })
+			o.cut("q")
+			conn.WaitForStateChange(t.Context(), connectivity.Ready)
+		}
+		return 0, true
+	}
+	if diff := cmp.Diff(result{Status: 200, Body: "v", Finished: true}, s.call("/keyed/x", "k")); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"v"}, o.regions()); diff != "" {
+		t.Errorf("regions that got the body: -want +got\n%s", diff)
+	}
+}
+
 // TestHomesChangeInQueue guards against a request that runs here after its homes moved elsewhere while it waited
 // for a slot.
 func TestHomesChangeInQueue(t *testing.T) {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -104,11 +104,21 @@
 	if err := f.checkRelay(r, region); err != nil {
 		return nil, err // a probe settles the reply that is recorded as due
 	}
-	var opts []grpc.CallOption
-	if r.regions != nil {
-		opts = append(opts, dialer.Expect(dialer.Peer{Host: entry.Name, Region: entry.Region}))
+	var refused error
+	check := dialer.Check(func(ctx context.Context) error {
+		// The connection may have been established again since.
+		if refused = f.checkRelay(r, region); refused != nil {
+			return dialer.ErrWithheld
+		}
+		if r.regions == nil {
+			return nil
+		}
+		return dialer.CheckPeer(ctx, dialer.Peer{Host: entry.Name, Region: entry.Region})
+	})
+	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.newRelayRequest(r), check)
+	if refused != nil {
+		return nil, refused
 	}
-	stream, err := schema.NewRelayServiceClient(conn).Relay(ctx, f.newRelayRequest(r), opts...)
 	if dialer.NotSent(err) {
 		return nil, errors.Join(errRelayFailed, err)
 	}
