Let no head go on after an error of reading it

With a head of more than 4 KiB that arrives in pieces, an exhausted budget for heads and memory that is free again at the next read, a caller could get a 200 whose body holds the rest of the head: the field read last counted as whole, the line end that followed as the end of the head, and the response without its Content-Length or Transfer-Encoding as one that ends with its connection.

Cause: http.ReadResponse reads lines with bufio.Reader.ReadLine, which returns what was read before an error as a line and drops the error. It relies on the next read to fail too. Those of a closed or reset connection and of the bounds in bytes and lines do; bufferer.ErrExhausted did not, since memory may be free by then.

Ruled out: the ends of connections themselves.

Evidence: TestHeadAfterExhaustedMemory failed before: "got a response with transfer encoding [], body "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", want an error".

Change: boundedReader keeps the first error and returns it for each later Read. A connection is not used again after an error, so nothing else depends on reading on.

go test -race ./internal/pooler passes.

--- a/internal/pooler/endless_test.go
+++ b/internal/pooler/endless_test.go
@@ -183,3 +183,36 @@
 		call.Close()
 	}
 }
+
+// releasingReader returns what its budget has taken for others once that was the cause of an error.
+type releasingReader struct {
+	*boundedReader
+	others *bufferer.Hold
+}
+
+func (r releasingReader) Read(b []byte) (int, error) {
+	n, err := r.boundedReader.Read(b)
+	if errors.Is(err, bufferer.ErrExhausted) {
+		r.others.Release()
+	}
+	return n, err
+}
+
+// TestHeadAfterExhaustedMemory guards against a response that loses the rest of its header, and with it the
+// framing of its body, because for a moment there was no memory for its head: http.ReadResponse takes what was
+// read before an error for a whole line, and reads on.
+func TestHeadAfterExhaustedMemory(t *testing.T) {
+	first := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Filler: "+strings.Repeat("x", 90)+"\r\n", 50) + "X-Last: 34"
+	rest := "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	budget := &bufferer.Budget{Max: 64 << 10}
+	others := &bufferer.Hold{Budget: budget}
+	if err := others.Grow(64<<10 + bufferer.FreeBytes); err != nil {
+		t.Fatal(err)
+	}
+	source := &boundedReader{r: io.MultiReader(strings.NewReader(first), strings.NewReader(rest)), hold: &bufferer.Hold{Budget: budget}, remaining: maxHeadBytes}
+	response, err := http.ReadResponse(bufio.NewReaderSize(releasingReader{source, others}, bufferBytes), newRequest(""))
+	if err == nil {
+		body, _ := io.ReadAll(response.Body)
+		t.Errorf("got a response with transfer encoding %q, body %q, want an error", response.TransferEncoding, body)
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -110,10 +110,21 @@
 	hold      *bufferer.Hold
 	remaining int
 	lines     int
+	err       error // of an earlier Read
 }
 
-// Read reads from the underlying reader.
+// Read reads from the underlying reader. After an error it returns only that one, since http.ReadResponse takes
+// what was read before an error for a whole line and reads on.
 func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.read(p)
+	b.err = err
+	return n, err
+}
+
+func (b *boundedReader) read(p []byte) (int, error) {
 	if b.hold == nil {
 		return b.r.Read(p)
 	}
