Take no 101 of a service for its answer

On the older interface a service that writes "101 Switching Protocols" and stops gave its caller a 101 with an empty body as the answer, and that was kept as the outcome of a call that must run once, though the call may have run or not.

Cause: http.Transport skips informational responses except 101, which it returns as a final one, without a body or a length; sendServiceCall checked the framing only.

Ruled out: cuts elsewhere. TestCompletionsCutAnywhere and TestServiceAnswersCutAnywhere cut responses after each byte, by FIN and by RST, with a length, with chunks after 1xx responses, and with neither; completions on new and on kept connections. http.Transport sends none of them again by itself, and no head without its end counts. Streams end as whole only with their end marker, other completions only as whole JSON.

Evidence: TestServiceAnswersCutAnywhere failed before in the cases of 101 alone, "answer &{status:101 contentType:text/plain body:[] replayed:false}", 264 lines.

Change: a response below 200 is incomplete. A call that may be repeated goes to another service, one that may not is recorded as unknown.

go test -race ./internal/server passes.

--- a/internal/server/continuation_test.go
+++ b/internal/server/continuation_test.go
@@ -33,6 +33,9 @@
 	resumed    int // tokens after which the stream is to go on
 }
 
+// resetMark at the end of a response makes a rawUpstream reset the connection.
+const resetMark = "\x00"
+
 // serveRaw listens on count addresses and writes what reply returns, with ID replaced by the request's
 // id. It closes the connection, with a FIN, if reply says so.
 func serveRaw(t *testing.T, count int, reply func(r rawRequest) (response string, closes bool)) []string {
@@ -79,7 +82,11 @@
 		_ = json.Unmarshal(b, &body)
 		id := r.Header.Get("X-Request-Id")
 		response, closes := reply(rawRequest{number, n, id, r.URL.Path, body.Resume.Tokens})
-		if _, err := io.WriteString(conn, strings.ReplaceAll(response, "ID", id)); err != nil || closes {
+		response, reset := strings.CutSuffix(response, resetMark)
+		if reset {
+			defer conn.(*net.TCPConn).SetLinger(0)
+		}
+		if _, err := io.WriteString(conn, strings.ReplaceAll(response, "ID", id)); err != nil || closes || reset {
 			return
 		}
 	}
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -249,6 +249,9 @@
 		return nil, err
 	}
 	defer answer.Close()
+	if answer.StatusCode < http.StatusOK { // http.Transport returns a response that switches protocols
+		return nil, fmt.Errorf("%w: status %d is not final", requester.ErrIncomplete, answer.StatusCode)
+	}
 	if answer.Body != http.NoBody && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
 		return nil, fmt.Errorf("%w: it has neither a length nor chunks", requester.ErrIncomplete)
 	}
