Take no part of a refusal for the whole one

On the older interface an upstream that stops within the body of a 4xx response gave its caller that status with an empty or shortened message, as a refusal that no other upstream was asked about.

Cause: upstreamError dropped the error of reading the refusal's body.

Ruled out: a refusal without its whole head; http.Transport fails then, and the request goes to another upstream. A refusal with neither a length nor chunks ends with its connection and cannot be told from a cut one; an RST is an error there too.

Evidence: TestRefusalsCutAnywhere failed before for each byte of the body and its framing, 142 lines, such as "status 400, body {"error":{"message":"th",...,"code":"upstream_refused","run":"unknown"}}".

Change: a refusal whose body cannot be read to its end, or to the first 4 KiB, counts as a failure of the upstream; completions may be repeated, so another upstream is asked.

go test -race ./internal/server passes.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -240,7 +240,10 @@
 			}
 			return errUnprovedRefusal // its body is left unread, so that the connection is closed
 		}
-		b, _ := io.ReadAll(io.LimitReader(a.Body, 4<<10))
+		b, err := io.ReadAll(io.LimitReader(a.Body, 4<<10))
+		if err != nil {
+			return bodyError(a, err)
+		}
 		r := newRefusal(a.StatusCode, "upstream_refused", strings.TrimSpace(string(b)))
 		r.Run = RunUnknown
 		return r
@@ -416,10 +419,7 @@
 	defer hold.Release()
 	b, err := hold.ReadAll(progressReader{a}, maxAnswerBytes)
 	if err != nil {
-		if a.Stalled() {
-			return fmt.Errorf("%w: %w", requester.ErrStalled, err)
-		}
-		return fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
+		return bodyError(a, err)
 	}
 	chunk, err := parseChunk(b, c.requestID)
 	if err != nil {
@@ -438,6 +438,14 @@
 	return nil
 }
 
+// bodyError returns the error of an answer whose body could not be read to its end.
+func bodyError(a *requester.Answer, err error) error {
+	if a.Stalled() {
+		return fmt.Errorf("%w: %w", requester.ErrStalled, err)
+	}
+	return fmt.Errorf("%w: %w", requester.ErrIncomplete, err)
+}
+
 // progressReader restarts the stall timeout of an answer, of firstTokenTimeout, on each read.
 type progressReader struct{ answer *requester.Answer }
 
--- a/internal/server/cut_test.go
+++ b/internal/server/cut_test.go
@@ -157,3 +157,37 @@
 		}
 	}
 }
+
+// TestRefusalsCutAnywhere guards against a refusal that callers get with part of its text because the upstream stopped
+// within it: the request goes to another upstream.
+func TestRefusalsCutAnywhere(t *testing.T) {
+	for framing, whole := range framings("400 Bad Request", "the prompt is too long") {
+		if framing == "neither" {
+			continue // its end is that of the connection
+		}
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", framing, reset), func(t *testing.T) {
+				t.Parallel()
+				for n := range len(whole) + 1 {
+					t.Run(fmt.Sprintf("cut after %q", whole[max(0, n-12):n]), func(t *testing.T) {
+						var requests atomic.Int32
+						s := newRawServer(t, serveRaw(t, 2, func(r rawRequest) (string, bool) {
+							if requests.Add(1) > 1 {
+								return response("200 OK", "application/json", strings.ReplaceAll(wholeCompletion, "ID", r.id)), true
+							}
+							if reset {
+								return whole[:n] + resetMark, true
+							}
+							return whole[:n], true
+						}))
+						w := s.ask(t, false)
+						complete := n == len(whole)
+						if refused := w.Code == http.StatusBadRequest; refused != complete || !complete && w.Code != http.StatusOK {
+							t.Errorf("status %d, body %s", w.Code, w.Body)
+						}
+					})
+				}
+			})
+		}
+	}
+}
