Reset the connection of a broken answer in HTTP/1.0

A caller of HTTP/1.0 got a stream, or another answer of unknown length, that had broken off as a whole one: the connection was closed in order.

Cause: recoverRequests leaves the end of a response to net/http, which closes the connection. In HTTP/1.1 the final chunk, or the rest of the length, is missing then; in HTTP/1.0 a response without a length ends with its connection.

Ruled out: HTTP/1.1, with chunks and with a length, and HTTP/1.0 with a length.

Evidence: TestAbortedResponseLooksCut failed before, 20 of 20 runs: "GET / HTTP/1.0: the response looks whole, body "id: 1\n\n"". After: 20 of 20 with -race.

Change: the connection of an aborted response in HTTP/1.0, or of one whose handler panicked, is reset.

--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -224,12 +224,28 @@
 				log.Error().Str("request", r.Header.Get(l.IDHeader)).Str("method", r.Method).Str("path", r.URL.Path).
 					Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler panicked")
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				resetConnection(w)
+			}
 			panic(http.ErrAbortHandler)
 		}()
 		l.Handler.ServeHTTP(w, r)
 	})
 }
 
+// resetConnection resets the connection of a response. In HTTP/1.0 the end of the connection is also that of a
+// response without a length.
+func resetConnection(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the handler has taken the connection
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection has ended
+	}
+	_ = c.Close()
+}
+
 // MetricsHandler returns a handler that serves the collectors' metrics, and those of the Go
 // runtime and the process, in the Prometheus format.
 func MetricsHandler(all []prometheus.Collector) http.Handler {
--- a/internal/starter/recover_test.go
+++ b/internal/starter/recover_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -54,3 +56,36 @@
 		t.Errorf("log: %s", got)
 	}
 }
+
+// TestAbortedResponseLooksCut guards against a response that breaks off and that its caller takes for a whole one: in
+// HTTP/1.0 one without a length ends with its connection, which must then be reset.
+func TestAbortedResponseLooksCut(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/length" {
+			w.Header().Set("Content-Length", "100")
+		}
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			t.Error(err)
+		}
+		panic(http.ErrAbortHandler)
+	})
+	server := httptest.NewServer(recoverRequests(Listener{Handler: h}, zerolog.Nop()))
+	defer server.Close()
+	for _, request := range []string{"GET / HTTP/1.0", "GET /length HTTP/1.0", "GET / HTTP/1.1", "GET /length HTTP/1.1"} {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, request+"\r\nHost: h\r\n\r\n")
+		var body []byte
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			body, err = io.ReadAll(response.Body)
+		}
+		if err == nil {
+			t.Errorf("%s: the response looks whole, body %q", request, body)
+		}
+		_ = c.Close()
+	}
+}
