Pass on the length that a response to HEAD states

A caller of HEAD got "Content-Length: 0" whatever the upstream stated, so an answer that is not empty looked empty and whole.

Cause: forwardWhole stated the length of the body that it had read, which a response to HEAD does not have.

Evidence: with a length in the HEAD case, TestResponsesCutAnywhere failed before, here and relayed: "length 0". With neither a length nor chunks none is stated now, as by the upstream.

Change: for HEAD the length is the one in the response's head; it is -1, as for a stream, if there is none.

go test -race ./internal/forwarder passes; net/http was seen to send both heads without a body or chunks.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -275,7 +275,7 @@
 		}
 	}
 	length := int64(len(b))
-	if large {
+	if large || r.Method == http.MethodHead {
 		length = call.Response.ContentLength
 	}
 	s.headSent = true
--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -66,6 +66,8 @@
 	name, method, path string
 	after              string // ID of the event after which the caller takes up a stream
 	response, body     string
+	// length is that of the body that a response to HEAD states.
+	length int64
 	// unframed is set if the body ends with the connection, unless that is reset.
 	unframed bool
 	// others says that another upstream may serve the request once this one has failed.
@@ -114,7 +116,8 @@
 		)
 	}
 	return append(all,
-		cutCase{name: "HEAD", method: http.MethodHead, path: "/unsafe/x", response: head + "Content-Length: 0\r\n\r\n"},
+		cutCase{name: "HEAD", method: http.MethodHead, path: "/unsafe/x", response: head + "Content-Length: 12\r\n\r\n", length: 12},
+		cutCase{name: "HEAD without a length", method: http.MethodHead, path: "/unsafe/x", response: head + "\r\n"},
 		cutCase{name: "no content", path: "/unsafe/x", response: failure("204 No Content") + "\r\n"},
 		cutCase{name: "no content for a stream", path: "/stream/x", response: failure("204 No Content") + "\r\n"},
 		cutCase{name: "failure", path: "/unsafe/x", response: failure("500 Internal Server Error") + length("bad"), body: "bad"},
@@ -211,7 +214,7 @@
 		return "not the whole answer"
 	case got.Finished && got.Aborted, !strings.HasPrefix(body, got.Body):
 		return "another body"
-	case got.Finished && got.length >= 0 && got.length != int64(len(got.Body)):
+	case got.Finished && got.length >= 0 && got.length != c.length+int64(len(got.Body)):
 		return fmt.Sprint("length ", got.length)
 	case (got.Finished || got.Aborted) && (!own || got.header.Get("Mark") != "1234"):
 		return "another head"
