Test relayed completions whose replies are lost

The other half of TestRelayedStreamCutAnywhere, on the older interface: a completion that is not streamed, of which the replies end early, in order or not, or have a hole. It passes on the present code: the body goes out only with the end mark, and replies are numbered.

go test -race ./internal/server -run TestRelayedBodyCutAnywhere passes.

--- a/internal/server/cut_test.go
+++ b/internal/server/cut_test.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -191,3 +194,32 @@
 		}
 	}
 }
+
+// TestRelayedBodyCutAnywhere guards against a completion that looks whole although the host that runs it in another
+// region ends before it has sent all replies, or one of them is lost.
+func TestRelayedBodyCutAnywhere(t *testing.T) {
+	s := newRawServer(t, serveRaw(t, 1, func(r rawRequest) (string, bool) {
+		return response("200 OK", "application/json", strings.ReplaceAll(wholeCompletion, "ID", r.id)), true
+	}))
+	sent := &recordedReplies{}
+	c := &completion{requestID: proposer.NewRequestID(), path: "/v1/completions", model: "m", maxTokens: 9, forwarded: true}
+	if err := s.runAttempts(t.Context(), c, &forwardAnswerWriter{stream: &numberedReplies{ServerStreamingServer: sent}, c: c}); err != nil {
+		t.Fatal(err)
+	}
+	for from := range sent.replies {
+		for to := from; to <= len(sent.replies); to++ {
+			for _, end := range []error{io.EOF, io.ErrUnexpectedEOF} {
+				received := &recordedReplies{replies: slices.Concat(sent.replies[:from], sent.replies[to:]), err: end}
+				w := httptest.NewRecorder()
+				out := &httpAnswerWriter{w: w}
+				if err := s.copyForwardReplies(received, &completion{}, out); err != nil {
+					out.writeError(s, err)
+				}
+				whole := from == to
+				if (w.Code == http.StatusOK) != whole || whole && !strings.Contains(w.Body.String(), "free.") {
+					t.Errorf("replies %d to %d of %d lost, then %v: status %d, body %s", from+1, to, len(sent.replies), end, w.Code, w.Body)
+				}
+			}
+		}
+	}
+}
