Take no response after a 101 or a status below 100

On the newer interface an upstream that answers "101 Switching Protocols", or states a status below 100, and then sends a response gave its caller that one; a request asks for no other protocol, so what follows a 101 is not HTTP.

Cause: readHeader skipped each status below 200 as an informational one.

Evidence: the two new cases of TestErrorsSayWhatWasSent failed before: "got call ..., error <nil>, want error pooler: malformed response".

go test -race ./internal/pooler passes.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -299,9 +299,12 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
 		}
-		if response.StatusCode >= 200 {
+		switch {
+		case response.StatusCode >= 200:
 			c.Response = response
 			return nil
+		case response.StatusCode == http.StatusSwitchingProtocols || response.StatusCode < 100:
+			return fmt.Errorf("%w: status %d", ErrMalformedResponse, response.StatusCode)
 		}
 	}
 }
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -213,6 +213,8 @@
 		"nobody listens":     {refusingAddress, ErrNotSent},
 		"closed before":      {newUpstream(t, []string{closeMark}), ErrConnectionLost},
 		"closed in the head": {newUpstream(t, []string{"HTTP/1.1 200 OK\r\nContent-"}), ErrMalformedResponse},
+		"other protocol":     {newUpstream(t, []string{"HTTP/1.1 101 Switching Protocols\r\n\r\n" + completeResponse}), ErrMalformedResponse},
+		"no status":          {newUpstream(t, []string{"HTTP/1.1 020 OK\r\n\r\n" + completeResponse}), ErrMalformedResponse},
 		"no answer at all":   {newUpstream(t, []string{"hello\r\n\r\n"}), ErrMalformedResponse},
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
