Bound the time in which bodies of requests must arrive

What callers and upstreams could do: send the head of a request and no body, or a byte of it now and then. On the older interface anybody without a key could, on any route; on the platform's path an upstream with a heartbeat or an operator, and a caller without a request ID. Each such connection held a descriptor and a goroutine for as long as the sender liked; those with a heartbeat also a part of the memory for the bodies of all.

Cause: the deadline was set only by the two handlers that read callers' bodies. The handlers of announcements and commands set none; and net/http reads without a deadline what a handler leaves unread, also on a connection that is to be closed.

Ruled out: http.Server.ReadTimeout. It also ends the wait for a caller that disconnects, so that the request would be canceled when the timeout ends, body or not.

Evidence, before: TestBodiesThatDoNotArrive fails in internal/server ("POST /v1/announce with an unread body, status 401: deadline 0001-01-01", the same for 7 other routes) and in internal/starter ("unread", "read in part"). TestSlowBodies without the new handler: after 10 s "the connection is still open" in all 4 cases.

Change: expirer.Handler sets the deadline for each request with a body, on all listeners, and removes it at the body's end.

Why it works: net/http reads the rest through the same connection, so the deadline ends that read as well. TestRequestOutlastsBodyTimeout shows that a request whose body has arrived outlasts the timeout.

--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -19,6 +19,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/expirer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -42,11 +43,12 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("/", s.serveServiceCall)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inflight.Add(1)
 		defer s.inflight.Add(-1)
 		mux.ServeHTTP(w, r)
 	})
+	return expirer.Handler(counted, bodyTimeout)
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -254,13 +256,11 @@
 	return names
 }
 
-// readBody reads the body of a caller's request: up to maxBodyBytes, within bodyTimeout.
+// readBody reads the body of a caller's request: up to maxBodyBytes.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	hold := bufferer.Hold{Budget: &s.buffers}
 	defer hold.Release()
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	b, err := hold.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), maxBodyBytes+1)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -22,6 +22,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
+	"github.com/trefoilloft/trefoilloft/internal/expirer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -42,6 +43,7 @@
 	gcGrowthPercent = 60
 
 	headerReadTimeout = 5 * time.Second
+	bodyReadTimeout   = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
 	idleTimeout       = 90 * time.Second
 )
@@ -163,7 +165,7 @@
 		}
 		log := log.With().Str("listener", l.Name).Logger()
 		all = append(all, newHTTPServer(l.Name, ln, &http.Server{
-			Handler: recoverRequests(l, log), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: expirer.Handler(recoverRequests(l, log), bodyReadTimeout), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: stdlog.New(log, "", 0), DisableGeneralOptionsHandler: true,
 		}))
 	}
