server: Disconnect callers that do not read their answer

What callers could do, on the older interface: read a part of a stream, then nothing more, without closing. The request outlived its deadline for as long as they liked, and kept its slot in the queue and at the upstream; a handful of such callers with a valid key would take all slots of a model from the others. A planned stop would wait for them for 10 minutes.

Cause: the deadline ends the request to the upstream and the waits, but not a write to the caller that blocks. The platform's path has set a write deadline since it exists.

Evidence: TestCallerThatDoesNotRead, before: "the request has not ended 20 s after a deadline of 100 ms".

Change: the deadline of a request, which each has, also sets a write deadline, 1 s later as on the platform's path, so that the error event of a stream that ran out of time can still be written.

Why it works: the deadline applies to the blocked write itself; net/http removes it for the next request on the connection.

--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -28,6 +28,8 @@
 	slotWaitLimit     = 5 * time.Second
 	maxRequestTimeout = 2 * time.Minute
 	deadlineHeader    = "X-Deadline-Ms"
+	// Time after a request's deadline in which the rest of its answer, or the error, must be written.
+	writeDeadlineMargin = time.Second
 	// Assumed round-trip time to another region.
 	regionRoundTripTime = 160 * time.Millisecond
 	// Time that a request must save, beyond the round trip, to be offloaded to another region.
@@ -76,7 +78,7 @@
 		return
 	}
 	c.startedAt = startedAt
-	ctx, cancel, err := s.requestContext(r)
+	ctx, cancel, err := s.requestContext(w, r)
 	if err != nil {
 		s.writeRefusal(w, err)
 		return
@@ -112,8 +114,9 @@
 }
 
 // requestContext returns the context of a request with the caller's deadline, at most
-// maxRequestTimeout from now.
-func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc, error) {
+// maxRequestTimeout from now. A caller that does not read its answer is disconnected
+// writeDeadlineMargin after that.
+func (s *Server) requestContext(w http.ResponseWriter, r *http.Request) (context.Context, context.CancelFunc, error) {
 	timeout := maxRequestTimeout
 	if v := r.Header.Get(deadlineHeader); v != "" {
 		ms, err := strconv.Atoi(v)
@@ -122,6 +125,7 @@
 		}
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout + writeDeadlineMargin)) // on failure, a caller that does not read keeps its slot
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	return ctx, cancel, nil
 }
--- a/internal/server/servicecall.go
+++ b/internal/server/servicecall.go
@@ -63,7 +63,7 @@
 		s.writeRefusal(w, err)
 		return
 	}
-	ctx, cancel, err := s.requestContext(r)
+	ctx, cancel, err := s.requestContext(w, r)
 	if err != nil {
 		s.writeRefusal(w, err)
 		return
--- a/internal/server/slow_test.go
+++ b/internal/server/slow_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,3 +44,42 @@
 		t.Errorf("body read, status %d: a deadline is still set", w.Code)
 	}
 }
+
+// TestCallerThatDoesNotRead guards against a caller that stops reading its stream and so keeps a slot at an
+// upstream beyond its deadline, without end.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	s := newRawServer(t, serveRaw(t, 1, func(rawRequest) (string, bool) {
+		return streamHead + strings.Repeat(tokenEvent(strings.Repeat("x", 4<<10)), 4<<10), true
+	}))
+	ended := make(chan struct{})
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		ctx, cancel, err := s.requestContext(w, r)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer cancel()
+		c, err := parseCompletion("/v1/chat/completions", []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"?"}]}`))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := s.runAttempts(ctx, c, &httpAnswerWriter{w: w}); err == nil {
+			t.Error("the stream ended as complete")
+		}
+	}))
+	conn, err := net.Dial("tcp", h.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+deadlineHeader+": 100\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Error("the request has not ended 20 s after a deadline of 100 ms")
+	}
+}
