requester: Do not take an upstream for stalled while its caller is slow

What callers saw, on the older interface: a caller that took more than 2 s for what the host had for it, on a slow line or with a pause, had its stream end early or begin again after the tokens it had. Upstreams had the work twice; in the region's logs they were the ones that stalled, and a second stall without progress excluded them for the request.

Cause: the timeout for the upstream's next token ran on while the host was writing to the caller and read nothing. Stream that moved slowly for one reason was attributed to the other end.

Also: the timeout and the time of the last progress were two values, stored one after the other. A check between them could compare the new, shorter timeout with the old time, after a first token that took over 2 s. Seen by reading only, without a test. They are one value now.

Evidence: TestSlowCallerIsNoStall, before: "9 tokens, error requester: upstream connection is unresponsive: context canceled" of 100 tokens that the upstream had sent at once.

Change: the timeout is paused during the write. A write is bounded by the caller's deadline.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -99,11 +100,10 @@
 
 // Watchdog cancels a request when nothing arrives from the upstream within a timeout.
 type Watchdog struct {
-	lastProgressAt atomic.Int64 // nanoseconds on the timer's clock
-	timeout        atomic.Int64 // nanoseconds
-	stalled        atomic.Bool
-	cancel         context.CancelFunc
-	requester      *Requester
+	stalledAt atomic.Int64 // when the timeout ends, nanoseconds on the timer's clock
+	stalled   atomic.Bool
+	cancel    context.CancelFunc
+	requester *Requester
 }
 
 func (c *Requester) startWatchdog(cancel context.CancelFunc, timeout time.Duration) *Watchdog {
@@ -115,17 +115,19 @@
 
 // Restart restarts the timeout because data arrived; the next must arrive within timeout.
 func (w *Watchdog) Restart(timeout time.Duration) {
-	w.timeout.Store(int64(timeout))
-	w.lastProgressAt.Store(int64(w.requester.Timer.Now()))
+	w.stalledAt.Store(int64(w.requester.Timer.Now() + timeout))
 }
 
+// Pause stops the timeout until Restart is called, because nothing is read from the upstream meanwhile.
+func (w *Watchdog) Pause() { w.stalledAt.Store(math.MaxInt64) }
+
 func (w *Watchdog) stop() { w.requester.watchdogs.Delete(w) }
 
 func (c *Requester) cancelStalled() {
 	now := int64(c.Timer.Now())
 	c.watchdogs.Range(func(k, _ any) bool {
 		w := k.(*Watchdog)
-		if now-w.lastProgressAt.Load() > w.timeout.Load() {
+		if now > w.stalledAt.Load() {
 			w.stalled.Store(true)
 			w.cancel()
 		}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -386,9 +386,11 @@
 		if c.firstTokenAt == 0 {
 			c.firstTokenAt = s.Timer.Now()
 		}
+		a.Watchdog.Pause()
 		if err := out.writeEvent(e, !events.Buffered()); err != nil {
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
+		a.Watchdog.Restart(nextTokenTimeout)
 		if err := c.delivered.add(e); err != nil {
 			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
--- a/internal/server/slow_test.go
+++ b/internal/server/slow_test.go
@@ -6,8 +6,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 // deadlineRecorder records the read deadline that is set when the handler returns.
@@ -83,3 +87,39 @@
 		t.Error("the request has not ended 20 s after a deadline of 100 ms")
 	}
 }
+
+// slowWriter is a caller that takes an event only after delay.
+type slowWriter struct {
+	httpAnswerWriter
+	clock *timer.Service
+	delay time.Duration
+}
+
+func (w *slowWriter) writeEvent(data []byte, flush bool) error {
+	w.clock.Advance(w.delay)
+	return w.httpAnswerWriter.writeEvent(data, flush)
+}
+
+// TestSlowCallerIsNoStall guards against upstreams that are taken for stalled while a caller is slow to read: each
+// time, the stream began again at another upstream, or on a new connection.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	var requests atomic.Int32
+	addresses := serveRaw(t, 1, func(rawRequest) (string, bool) {
+		requests.Add(1)
+		return streamHead + strings.Repeat(tokenEvent(strings.Repeat("x", 1<<10)), 100) + lastEvents, true
+	})
+	s := &Server{Settings: &schema.Settings{Name: "h", Region: "r"}, Timer: &timer.Service{Clock: &timer.ManualClock{}}}
+	if err := s.Open(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.registrar.Register(&schema.Announcement{Name: "u", Kind: schema.UpstreamKind_UPSTREAM_ENGINE, Models: []string{"m"}, Region: "r", Address: addresses[0], Slots: 8, Lease: 1e6})
+	c, err := parseCompletion("/v1/chat/completions", []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"?"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	err = s.runAttempts(t.Context(), c, &slowWriter{httpAnswerWriter{w: w}, s.Timer, nextTokenTimeout + time.Second})
+	if err != nil || !strings.HasSuffix(w.Body.String(), doneEvent) || requests.Load() != 1 {
+		t.Errorf("%d requests at the upstream, want 1; %d tokens, error %v", requests.Load(), c.delivered.tokens, err)
+	}
+}
