requester: Take events that are being read from the budget

What callers would see, on the older interface: an upstream that sends long events, or one that never ends, on many streams at once takes up to 2 MiB of a host's memory for each, on top of the 128 MiB that all buffers together may take. With enough streams the host ends, and the requests of all its callers with it.

Cause: the budget counted bodies, answers and events that were sent, but not the event that is being read.

Evidence: TestEventsWithoutMemory, before, with a budget of 256 KiB: "one line: 1 events sent, error server: the answer is truncated and cannot be resumed"; an event of 1 MiB in lines was read up to its own bound. After: both fail with bufferer.ErrExhausted and nothing sent, and a stream of short events passes with a budget of 0.

Change: the reader of events holds what its buffers take beyond 16 KiB, until the stream ends. Without room the attempt fails as on the platform's path.

--- a/internal/requester/events.go
+++ b/internal/requester/events.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 )
 
 const (
@@ -20,12 +22,14 @@
 	endMarker  = []byte("[DONE]")
 )
 
-// EventReader reads the server-sent events of a completion stream. Set Answer and EventTimeout
-// before use.
+// EventReader reads the server-sent events of a completion stream. Set Answer, EventTimeout and the
+// Budget of Hold before use; Hold must be released after it.
 type EventReader struct {
 	Answer *Answer
 	// EventTimeout is the timeout for the next event after each event.
 	EventTimeout time.Duration
+	// Hold is what the event that is being read takes.
+	Hold bufferer.Hold
 
 	reader *bufio.Reader
 	event  []byte
@@ -53,6 +57,9 @@
 		case bytes.HasPrefix(line, dataPrefix):
 			e.event = append(e.event, bytes.TrimPrefix(line[len(dataPrefix):], []byte(" "))...)
 		}
+		if err := e.Hold.Grow(int64(cap(e.event))); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
+		}
 		if len(e.event) > maxEventBytes {
 			return nil, fmt.Errorf("%w: event is longer than %d bytes", ErrIncomplete, maxEventBytes)
 		}
@@ -70,6 +77,9 @@
 		for errors.Is(err, bufio.ErrBufferFull) && len(long) <= maxEventBytes {
 			line, err = e.reader.ReadSlice('\n')
 			long = append(long, line...)
+			if err := e.Hold.Grow(int64(cap(e.event) + cap(long))); err != nil {
+				return nil, err
+			}
 		}
 		line = long
 	}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -359,7 +359,8 @@
 // copyStream sends events to the caller as they arrive. The caller's stream gets its end marker
 // only after the upstream's, and only if the upstream said before that the text has ended.
 func (s *Server) copyStream(c *completion, a *requester.Answer, out answerWriter) error {
-	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout}
+	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout, Hold: bufferer.Hold{Budget: &s.buffers}}
+	defer events.Hold.Release()
 	ended := false
 	for {
 		e, err := events.Next()
