--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -169,3 +169,27 @@
 	cancel()
 	x.group.Wait()
 }
+
+// TestLostDelta guards against a configuration with a hole: a follower that misses a delta, or gets one twice, must
+// not apply what follows to the wrong version.
+func TestLostDelta(t *testing.T) {
+	const n = 6
+	deltas, snapshots := joinDeltas(n)
+	for lost := range n - 1 {
+		d := &Distributor{Timer: &timer.Service{}}
+		for i, delta := range deltas {
+			if i == lost {
+				continue
+			}
+			reopen, err := d.ApplyReply(&schema.WatchReply{Delta: delta})
+			if err != nil || reopen != (i > lost) {
+				t.Errorf("delta %d lost, delta %d: reopen %v, error %v", lost, i, reopen, err)
+			}
+			_, _ = d.ApplyReply(&schema.WatchReply{Delta: delta})
+		}
+		want := snapshots[lost]
+		if got := d.Current(); got.Version != want.Version || got.Version > 0 && !bytes.Equal(got.Hash, want.Hash) {
+			t.Errorf("delta %d lost: version %d in force, want %d", lost, got.Version, want.Version)
+		}
+	}
+}
