pooler: Confine a panic while a request is written

What callers would see, on the platform's path: a panic in the goroutine that writes one request with a body ends the entry host and all requests on it.

Evidence: TestPanicWhileWriting, before: "panic: broken" ends the test's process.

Change: the write is confined, logged and counted, and its connection closed, so that the request fails as one whose connection was lost instead of waiting for an upstream that waits for the rest of it.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -17,9 +17,11 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -85,6 +87,8 @@
 	OnDial func(address string)
 	// Buffers bounds the memory for the heads of responses. Nil: unlimited.
 	Buffers *bufferer.Budget
+	// Log gets a line when writing a request panics.
+	Log zerolog.Logger
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last; guarded by mu
@@ -204,10 +208,18 @@
 		}
 		return nil
 	}
-	go func() { c.writeDone <- writeRequest(c.conn.Conn, r) }()
+	go func() {
+		err := errWritePanicked
+		if !confiner.Call(c.pool.Log, "write", func() { err = writeRequest(c.conn.Conn, r) }) {
+			c.Abort() // the upstream waits for the rest of the request
+		}
+		c.writeDone <- err
+	}()
 	return nil
 }
 
+var errWritePanicked = errors.New("pooler: writing the request panicked")
+
 var errTooLate = errors.New("pooler: the connection was established too late")
 
 // writeRequest writes a request whose body, if it has one, has a known length. An opaque URL is the request
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -107,7 +107,7 @@
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
-	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses}
+	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log}
 	quarantine := &quarantiner.Register{Now: e.Timer.Now}
 	observer := &quarantiner.Observer{
 		Timer: e.Timer, Log: e.Log, Refused: e.pool.Refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
