--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -362,7 +362,8 @@
 // copyStream sends events to the caller as they arrive. The caller's stream gets its end marker
 // only after the upstream's, and only if the upstream said before that the text has ended.
 func (s *Server) copyStream(c *completion, a *requester.Answer, out answerWriter) error {
-	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout}
+	events := &requester.EventReader{Answer: a, EventTimeout: nextTokenTimeout, Hold: bufferer.Hold{Budget: &s.buffers}}
+	defer events.Hold.Release()
 	ended := false
 	for {
 		e, err := events.Next()
@@ -389,9 +390,11 @@
 		if c.firstTokenAt == 0 {
 			c.firstTokenAt = s.Timer.Now()
 		}
+		a.Watchdog.Pause()
 		if err := out.writeEvent(e, !events.Buffered()); err != nil {
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
+		a.Watchdog.Restart(nextTokenTimeout)
 		if err := c.delivered.add(e); err != nil {
 			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -19,6 +19,8 @@
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/confiner"
+	"github.com/trefoilloft/trefoilloft/internal/expirer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -42,11 +44,14 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("/", s.serveServiceCall)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inflight.Add(1)
 		defer s.inflight.Add(-1)
-		mux.ServeHTTP(w, r)
+		if !confiner.Call(s.Log, "request", func() { mux.ServeHTTP(w, r) }) {
+			panic(http.ErrAbortHandler) // the caller must not take its answer for whole
+		}
 	})
+	return expirer.Handler(counted, bodyTimeout)
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -161,13 +166,13 @@
 		others = others[:maxAnnouncementCopies]
 	}
 	for _, h := range others {
-		go func() {
+		s.background("announcement", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), rpcTimeout)
 			defer cancel()
 			if c, err := s.Dialer.EntryClient(h.Internal); err == nil {
 				_, _ = c.Announce(ctx, a)
 			}
-		}()
+		})
 	}
 }
 
@@ -254,13 +259,11 @@
 	return names
 }
 
-// readBody reads the body of a caller's request: up to maxBodyBytes, within bodyTimeout.
+// readBody reads the body of a caller's request: up to maxBodyBytes.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	hold := bufferer.Hold{Budget: &s.buffers}
 	defer hold.Release()
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	b, err := hold.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), maxBodyBytes+1)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
