Relay nothing while the configuration cannot be confirmed, with or without a key

A host that no control host reaches went on relaying requests of open routes by the homes that it last knew; the receiver refuses what it may not serve, but by then it has the body. Such requests are still served in the host's own region. TestStaleHostRelaysNothing failed before: the body got to region q under a configuration confirmed a minute ago.

--- a/internal/forwarder/home_test.go
+++ b/internal/forwarder/home_test.go
@@ -596,3 +596,22 @@
 		}
 	}
 }
+
+// TestStaleHostRelaysNothing guards against bodies that leave their region because a host that no control host
+// reaches does not know that they are bound to it by now.
+func TestStaleHostRelaysNothing(t *testing.T) {
+	for age, want := range map[time.Duration]result{
+		0:           {Status: 200, Body: "q", Finished: true},
+		time.Minute: {Status: 503, Cause: causeStale},
+	} {
+		s := newSystem(t)
+		o := s.connect(t, "q")
+		s.age = age
+		if diff := cmp.Diff(want, s.call("/safe/x", "")); diff != "" {
+			t.Errorf("configuration confirmed %v ago: -want +got\n%s", age, diff)
+		}
+		if got := o.regions(); want.Status == 503 && len(got) > 0 {
+			t.Errorf("configuration confirmed %v ago: the body got to %v", age, got)
+		}
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -24,8 +24,8 @@
 // maxRelayHosts is the number of entry hosts of another region that a host relays to.
 const maxRelayHosts = 8
 
-// relayAgeMargin is subtracted from MaxConfirmationAge when a request with a key is relayed,
-// because it may wait again in the other region.
+// relayAgeMargin is subtracted from MaxConfirmationAge when a request is relayed, because it may wait
+// again in the other region.
 const relayAgeMargin = time.Second
 
 var errRelayFailed = errors.New("forwarder: relay through another region failed")
@@ -59,9 +59,10 @@
 
 // checkRelay returns an error if a request may not be relayed to a region.
 func (f *Forwarder) checkRelay(r *Request, region string) error {
-	if err := f.checkHome(r, region); err != nil || r.customer == nil {
+	if err := f.checkHome(r, region); err != nil {
 		return err
 	}
+	// Also without a key: by the newest configuration the body may be bound to other regions.
 	return f.checkFreshness(f.MaxConfirmationAge - relayAgeMargin)
 }
 
