Compress the catalog in a reply whose update is packed

The reply of a control host to an entry host's first report holds the whole catalog. It was compressed along with the configuration until large configurations were packed, which was overlooked: found in review. Bytes that are packed do not count for whether the rest is compressed.

--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -133,9 +133,6 @@
 	if confirmedAt := k.lastConfirmedAt(); confirmedAt > 0 {
 		reply.Age = int64(k.c.Timer.Now() - confirmedAt)
 	}
-	if err := k.fillUpdate(ctx, r, reply); err != nil {
-		return nil, err
-	}
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, r.Self.Region)
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
 	reply.Cursor, reply.Process, reply.Whole = changes.Cursor, changes.Process, changes.Complete
@@ -144,16 +141,19 @@
 	reply.Leader = k.c.view.Load().leaderAddress()
 	k.fillLoads(r.Self, reply)
 	reply.Findings = k.storeFindings(r.Findings, r.Self.Name)
+	if err := k.fillUpdate(r, reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Packed) > 0 || reply.Snapshot != nil || len(reply.Deltas) > 0 {
+		dialer.CompressReply(ctx, proto.Size(reply)-len(reply.Packed))
+	}
 	return reply, nil
 }
 
 // fillUpdate adds what brings the sender's configuration up to date.
-func (k *Cluster) fillUpdate(ctx context.Context, r *schema.RefreshRequest, reply *schema.RefreshReply) error {
+func (k *Cluster) fillUpdate(r *schema.RefreshRequest, reply *schema.RefreshReply) error {
 	if !r.Packs {
 		reply.Snapshot, reply.Deltas = k.c.Distributor.UpdateFor(r.Version, r.Hash)
-		if reply.Snapshot != nil || len(reply.Deltas) > 0 {
-			dialer.CompressReply(ctx, proto.Size(reply))
-		}
 		return nil
 	}
 	packed, plain, err := k.c.Distributor.PackedUpdateFor(r.Version, r.Hash)
