--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -68,6 +68,8 @@
 	// digests are those of all regions, computed at digestsAt; guarded by mu
 	digests   []*schema.RegionDigest
 	digestsAt time.Duration
+	// unevenness is what Uneven returned last; guarded by mu
+	unevenness unevenState
 }
 
 // addressOwner is the process of an upstream that started last at an address.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -318,6 +318,7 @@
 	return &schema.Peer{
 		Name: s.Name, Region: s.Region, Domain: s.Domain, Listen: s.Listen, Internal: s.Internal,
 		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Loads: e.scheduler.OwnLoads(),
+		Capacity: e.Capacity,
 	}
 }
 
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/expirer"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -65,9 +66,19 @@
 	MaxMemoryBytes int64
 	// MaxCores is the number of processors that the process may use; 0: the runtime's default.
 	MaxCores int
-	Log      zerolog.Logger
+	// MaxDescriptors is the number of descriptors that the process may use; 0: not stated.
+	MaxDescriptors int
+	// Capacity is what the host can carry; nil: not stated.
+	Capacity *schema.Capacity
+	// Contended is set where callers compete for too little room.
+	Contended bool
+	Log       zerolog.Logger
 }
 
+// adaptive reports whether requests are placed, ordered and charged by expected cost and demand: where callers
+// compete for too little room, or where the hosts of the table are of unequal capacity.
+func (o *Options) adaptive(t *cataloger.Table) bool { return o.Contended || t.Uneven() }
+
 // applyRuntimeLimits configures the Go runtime for the process's limits.
 func (o *Options) applyRuntimeLimits() {
 	if o.MaxCores > 0 {
