Ask the other control hosts for an upstream's last report when it begins to leave

Cause: the control host that receives the report that an upstream is leaving has the upstream's last report from another host only as of up to 3 s before. Unless all control hosts had been in contact with the leader for 5 s, it counted the time for which the upstream may be used from there, as another host might have acknowledged an earlier report. One pause of a control host of over a second therefore took all of the time.

Change: reports of a process are numbered, so the host that has the report before this one proves that nobody has acknowledged an earlier one. Without that proof it counts from the latest report of any host that says otherwise.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -131,12 +131,12 @@
 func (t *Table) StoreUpstream(a *schema.Announcement, direct bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.storeUpstream(a, direct, nil)
+	return t.storeUpstream(a, direct, nil, nil)
 }
 
-// storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. The
-// caller holds mu.
-func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool) bool {
+// storeUpstream stores a report. silent says whether the upstream counts as silent; nil: its age does. Others are
+// the last reports of its process that other hosts have, if they were asked. The caller holds mu.
+func (t *Table) storeUpstream(a *schema.Announcement, direct bool, silent *bool, others []LastReport) bool {
 	if !t.usable(a) {
 		return false
 	}
@@ -166,7 +166,7 @@
 	updated := &upstream{report: a, reportedAt: reportedAt, direct: direct}
 	updated.leaving = reported
 	if direct && a.Leaving {
-		updated.leaving = t.leavingSince(a, old, now)
+		updated.leaving = t.leavingSince(a, old, others, now)
 	}
 	if old != nil && old.report.Incarnation == a.Incarnation {
 		updated.leaving, _ = old.leaving.merge(updated.leaving)
--- a/internal/cataloger/follow.go
+++ b/internal/cataloger/follow.go
@@ -67,7 +67,7 @@
 	if !t.usable(a) {
 		return false
 	}
-	changed := t.storeUpstream(a, false, &silent)
+	changed := t.storeUpstream(a, false, &silent, nil)
 	u := t.upstreams[name]
 	if u == nil || u.report.Incarnation != incarnation || u.report.Silent == silent || (number < u.report.Number && !whole) {
 		return changed
--- a/internal/cataloger/leaving.go
+++ b/internal/cataloger/leaving.go
@@ -55,17 +55,83 @@
 	return leavingTime{now - timer.Seconds(*a.Since) - rounding, a.Claim}
 }
 
-// leavingSince returns the time for an upstream's own report that it is leaving. Unless the table is
-// settled, another host may have acknowledged an earlier one, but not before the last report that says
-// otherwise; without such a report the time is not known. Old is what the table has of the upstream.
-func (t *Table) leavingSince(a *schema.Announcement, old *upstream, now time.Duration) leavingTime {
-	switch {
-	case old == nil || old.report.Incarnation != a.Incarnation || old.report.Leaving:
+// LastReport is the last report of an upstream's process that a host has.
+type LastReport struct {
+	// Number is the number of the report.
+	Number uint64
+	// Leaving is set if it says that the upstream is leaving or has ended.
+	Leaving bool
+	// At is a time, on the clock of Timer, before which the report was not stored.
+	At time.Duration
+}
+
+// LastReport returns the last report that the table has of an upstream's process, and false if it has none.
+func (t *Table) LastReport(upstream string, incarnation uint64) (LastReport, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[upstream]
+	if u == nil || u.report.Incarnation != incarnation {
+		return LastReport{}, false
+	}
+	return u.lastReport(), true
+}
+
+func (u *upstream) lastReport() LastReport {
+	return LastReport{u.report.Number, u.report.Leaving || u.report.Gone, u.reportedAt}
+}
+
+// NeedsLastReports reports whether the last reports that other hosts have are needed to tell since when an upstream
+// is leaving: a report of its own says so for the first time here, the table lacks the one before it, and another
+// host may have acknowledged that.
+func (t *Table) NeedsLastReports(a *schema.Announcement) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !a.Leaving || a.Gone {
+		return false
+	}
+	old := t.upstreams[a.Name]
+	if old != nil && old.report.Incarnation == a.Incarnation {
+		return !old.report.Leaving && a.Number > old.report.Number+1 && !(t.Settled != nil && t.Settled())
+	}
+	return old == nil || old.report.Incarnation < a.Incarnation
+}
+
+// StoreAnnounced stores a report that the upstream itself sent to this host, like StoreUpstream. Others are the
+// last reports of its process that other hosts have.
+func (t *Table) StoreAnnounced(a *schema.Announcement, others []LastReport) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storeUpstream(a, true, nil, others)
+}
+
+// leavingSince returns the time for an upstream's own report that it is leaving. No host has acknowledged that
+// before if the report follows one that says otherwise, whichever host has that one, or if the table is settled.
+// Else another host may have, but not before the last report that says otherwise; without such a report the time
+// is not known. Old is what the table has of the upstream, others what other hosts have.
+func (t *Table) leavingSince(a *schema.Announcement, old *upstream, others []LastReport, now time.Duration) leavingTime {
+	if old != nil && old.report.Incarnation == a.Incarnation {
+		if old.report.Leaving {
+			return leavingTime{}
+		}
+		if t.Settled != nil && t.Settled() {
+			return leavingTime{now, rand.Uint64() | 1}
+		}
+		others = append(slices.Clone(others), old.lastReport())
+	}
+	at, known := time.Duration(0), false
+	for _, r := range others {
+		switch {
+		case r.Leaving || r.Number >= a.Number:
+		case r.Number+1 == a.Number:
+			return leavingTime{now, rand.Uint64() | 1}
+		case !known || r.At > at:
+			at, known = r.At, true
+		}
+	}
+	if !known {
 		return leavingTime{}
-	case a.Number == old.report.Number+1, t.Settled != nil && t.Settled():
-		return leavingTime{now, rand.Uint64() | 1}
 	}
-	return leavingTime{old.reportedAt, rand.Uint64() | 1}
+	return leavingTime{min(at, now), rand.Uint64() | 1}
 }
 
 // storeLeaving stores what another host says of a process in a report that is not newer: that it is leaving,
--- a/internal/cataloger/leaving_test.go
+++ b/internal/cataloger/leaving_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -139,6 +141,75 @@
 	}
 }
 
+// TestLeavingWithLastReportsOfOthers guards against counting the time of an upstream that is leaving from a report
+// seconds ago, although another host has its last report, which says otherwise: such an upstream could not be used
+// at all. It guards as well against counting it from a later moment than what the reports show.
+func TestLeavingWithLastReportsOfOthers(t *testing.T) {
+	whole := testDrainTime - LeavingMargin
+	own := newReport("u", 1, 1, "a:1")
+	for _, c := range []struct {
+		name   string
+		own    *schema.Announcement // the table's last report, 3 s ago
+		others func(now time.Duration) []LastReport
+		want   time.Duration
+	}{
+		{"nobody replies", own, func(time.Duration) []LastReport { return nil }, whole - 3*time.Second},
+		{"another host has the report before", own, func(now time.Duration) []LastReport {
+			return []LastReport{{2, false, now - 2*time.Second}, {3, false, now - time.Second}}
+		}, whole},
+		{"this host has just started, another has the report before", nil, func(now time.Duration) []LastReport {
+			return []LastReport{{3, false, now - time.Second}}
+		}, whole},
+		{"the report before is missing", own, func(now time.Duration) []LastReport {
+			return []LastReport{{2, false, now - 1200*time.Millisecond}, {1, false, now - 2*time.Second}}
+		}, whole - 1200*time.Millisecond},
+		{"another host has the report before, which says that it is leaving", own, func(now time.Duration) []LastReport {
+			return []LastReport{{3, true, now - 500*time.Millisecond}}
+		}, whole - 3*time.Second},
+		{"a reply is in the future", nil, func(now time.Duration) []LastReport { return []LastReport{{2, false, now + time.Hour}} }, whole},
+		{"nobody knows the process", nil, func(time.Duration) []LastReport { return nil }, 0},
+	} {
+		clock, tables := leavingTables(1)
+		x := tables[0]
+		if c.own != nil {
+			x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+			clock.Advance(3 * time.Second)
+		}
+		a := leavingReport(4)
+		if !x.NeedsLastReports(a) {
+			t.Errorf("%s: the reports of others are not asked for", c.name)
+		}
+		x.StoreAnnounced(a, c.others(clock.Now()))
+		if got := left(x).Round(time.Millisecond); got != c.want {
+			t.Errorf("%s: it may be used for %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestNeedsLastReports guards against a question to all control hosts for every report of an upstream.
+func TestNeedsLastReports(t *testing.T) {
+	_, tables := leavingTables(1)
+	x := tables[0]
+	x.StoreUpstream(newReport("u", 1, 1, "a:1"), true)
+	got := map[string]bool{
+		"not leaving":         x.NeedsLastReports(newReport("u", 1, 5, "a:1")),
+		"the next report":     x.NeedsLastReports(leavingReport(2)),
+		"an earlier process":  x.NeedsLastReports(&schema.Announcement{Name: "u", Leaving: true, Number: 9}),
+		"a report is missing": x.NeedsLastReports(leavingReport(3)),
+	}
+	x.Settled = func() bool { return true }
+	got["settled"] = x.NeedsLastReports(leavingReport(3))
+	x.Settled = nil
+	x.StoreUpstream(leavingReport(3), true)
+	got["known to be leaving"] = x.NeedsLastReports(leavingReport(5))
+	want := map[string]bool{
+		"not leaving": false, "the next report": false, "an earlier process": false, "a report is missing": true, "settled": false, "known to be leaving": false,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("needs the last reports of others: -want +got\n%s", diff)
+	}
+}
+
 // TestLeavingThroughHops guards against adding time on the way: whatever the hops, a table never lets an
 // upstream be used later than the first host that acknowledged its leaving.
 func TestLeavingThroughHops(t *testing.T) {
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -78,6 +78,8 @@
 	c          *Controller
 	consultNow chan struct{} // ends the wait before the next Consult call
 	searches   atomic.Int32  // questions to all control hosts that are open
+	// lastReportQuestions is the number of open questions for last reports.
+	lastReportQuestions atomic.Int32
 
 	mu                   sync.Mutex
 	candidates           map[uint64]candidate // by identity; guarded by mu
@@ -517,9 +519,13 @@
 
 // Announce stores an upstream's report of itself. After an error the report must not be acknowledged: that
 // the upstream is leaving would be forgotten if this host restarted.
-func (k *Cluster) Announce(a *schema.Announcement) error {
+func (k *Cluster) Announce(ctx context.Context, a *schema.Announcement) error {
 	name, leaving := a.Name, a.Leaving || a.Gone
-	if k.Table.StoreUpstream(a, true) {
+	var others []cataloger.LastReport
+	if k.Table.NeedsLastReports(a) {
+		others = k.lastReports(ctx, a)
+	}
+	if k.Table.StoreAnnounced(a, others) {
 		k.c.Log.Info().Str("upstream", a.Name).Str("pool", a.Pool).Str("address", a.Address).Str("software", a.Software).
 			Uint64("incarnation", a.Incarnation).Uint64("number", a.Number).
 			Bool("leaving", a.Leaving).Bool("gone", a.Gone).Float64("cold", a.Cold).Float64("left", a.Left).Msg("upstream changed")
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -92,7 +92,7 @@
 		if leaving {
 			a.Number++
 		}
-		if err := k.Announce(a); err != nil {
+		if err := k.Announce(t.Context(), a); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -120,7 +120,7 @@
 		t.Errorf("before the log is applied: confirmed %v, upstream is leaving %v", confirmed, leaving)
 	}
 	// A late report of the time before.
-	if err := k.Announce(&schema.Announcement{Name: "u", Pool: "p", Region: "r", Address: "x:1", Slots: 1, Incarnation: 5, Number: 1}); err != nil {
+	if err := k.Announce(t.Context(), &schema.Announcement{Name: "u", Pool: "p", Region: "r", Address: "x:1", Slots: 1, Incarnation: 5, Number: 1}); err != nil {
 		t.Fatal(err)
 	}
 	run()
