--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,6 +50,9 @@
 	Metrics    *Metrics
 	// Buffers bounds the memory for responses that are not forwarded as they arrive. Nil: unlimited.
 	Buffers *bufferer.Budget
+	// SlowCallers is set where callers may read so slowly that upstreams cut off what stays unread: streams are
+	// then read from the upstream while their callers read.
+	SlowCallers bool
 	// OnLimit is called after the limit that an upstream names has changed. Nil: not called.
 	OnLimit func()
 	// ConfirmationAge returns the time since the configuration was last confirmed as the
@@ -79,6 +82,7 @@
 	leavers       leaverSet
 	usage         routeUsage
 	inflight      atomic.Int64
+	spools        spoolMetrics
 }
 
 // Configure replaces the configuration that requests are served by.
@@ -125,6 +129,11 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	if f.SlowCallers && r.isStream() && !r.relayed {
+		spooled := newSpool(sink, f.Buffers, &f.spools, f.Log)
+		defer spooled.Close()
+		sink = spooled
+	}
 	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(ctx, r.answerUntil)
 	defer cancel()
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -126,7 +126,7 @@
 	e.RetryBudget.Hosts = func() int { return len(e.Table.ReadyHosts("")) }
 	e.Forwarder = &forwarder.Forwarder{
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
-		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses,
+		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses, SlowCallers: e.Contended,
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
 		OnBreakage: func() {
@@ -215,7 +215,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
 }
 
 // Stopping reports whether the process is shutting down.
