Sum callers' demand over hosts, and tell which slots are evacuated

Cause: entry hosts need the demand of every region to assign it. A digest counted the slots of evacuated domains as capacity.

What an entry host gets for its own region includes its own part, so that all hosts decide by the same figures. ModelDigest.evacuated is the part of the slots in evacuated domains; slots stay as they were.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -44,6 +44,9 @@
 	// OnUnusable is called for each report that is not stored as a field of it is out of range. It must not
 	// call the table, and must return soon. Nil: not called.
 	OnUnusable func(*schema.Announcement, *FieldError)
+	// Evacuated returns a function that reports whether a failure domain is evacuated by the configuration in
+	// force. Both are called under the table's lock. Nil: none is.
+	Evacuated func() func(domain string) bool
 	// IsMirror is set if all reports come from another table, which marks what no longer reports.
 	IsMirror bool
 	// IsFirst is set if no upstream served before the table was started, as the system had not started.
--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/assigner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -133,11 +134,12 @@
 	return total.without(host.Name)
 }
 
-// without returns the loads less those of one host, sorted by pool.
+// without returns the loads less those of one host, sorted by pool. The demand is that of the whole region, so that
+// all its hosts decide by the same figures.
 func (r *regionTotal) without(host string) []*schema.PoolLoad {
 	sums := map[string]*schema.PoolLoad{}
 	for pool, l := range r.sums {
-		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading)}
+		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading), Demands: l.Demands}
 	}
 	for _, l := range r.included[host].GetLoads() {
 		s := sums[l.Pool]
@@ -186,17 +188,25 @@
 		}
 		return digests[region][pool]
 	}
+	evacuated := func(string) bool { return false }
+	if t.Evacuated != nil {
+		evacuated = t.Evacuated()
+	}
 	for _, u := range t.upstreams {
 		if a := u.report; !a.Leaving && !a.Gone && !a.Silent {
 			d := digestFor(a.Region, a.Pool)
 			d.Replicas++
 			d.Slots += a.Slots
+			if evacuated(a.Domain) {
+				d.Evacuated += a.Slots
+			}
 		}
 	}
 	addLoad := func(region string, loads []*schema.PoolLoad) {
 		for _, l := range loads {
 			d := digestFor(region, l.Pool)
 			d.Waiting += l.Waiting
+			d.Demands = assigner.AddDemands(d.Demands, l.Demands)
 			for _, n := range l.Running {
 				d.Running += n
 			}
@@ -233,6 +243,7 @@
 			sums[l.Pool] = s
 		}
 		s.Waiting += l.Waiting
+		s.Demands = assigner.AddDemands(s.Demands, l.Demands)
 		for name, n := range l.Running {
 			s.Running[name] += n
 		}
--- a/internal/cataloger/load_test.go
+++ b/internal/cataloger/load_test.go
@@ -85,3 +85,40 @@
 		t.Errorf("a host that is not ready any more: forwarded %v", hosts)
 	}
 }
+
+// TestDemandsThroughControlHosts guards against demand that is lost, counted twice or sent to some hosts only, when the
+// hosts of a region report to different control hosts; and against capacity that includes evacuated upstreams.
+func TestDemandsThroughControlHosts(t *testing.T) {
+	leader, follower := newTable(t), newTable(t)
+	leader.Evacuated = func() func(string) bool { return func(domain string) bool { return domain == "d2" } }
+	for i, x := range []*Table{leader, leader, follower, follower} {
+		p := loadReport(fmt.Sprint("h", i), "r", 1, 1)
+		p.Loads[0].Demands = []*schema.HomeDemand{{Homes: []string{"r", "s"}, Work: 1}, {Work: 0.5, Shared: 0.25}}
+		x.StoreHost(p, "")
+	}
+	for i, domain := range []string{"d1", "d2", "d2"} {
+		leader.StoreUpstream(&schema.Announcement{Name: fmt.Sprint("u", i), Address: fmt.Sprint(i), Pool: "p", Region: "r", Domain: domain, Slots: 4, Incarnation: 1}, true)
+	}
+	leader.StoreLoads("follower", follower.DirectLoads())
+	want := []*schema.HomeDemand{{Work: 2, Shared: 1}, {Homes: []string{"r", "s"}, Work: 4}}
+	digest := leader.Digests("")[0].Routes[0]
+	if diff := cmp.Diff(want, digest.Demands, protocmp.Transform()); diff != "" {
+		t.Errorf("digest: -want +got\n%s", diff)
+	}
+	if digest.Slots != 12 || digest.Evacuated != 8 {
+		t.Errorf("%d slots, %d of them evacuated, want 12 and 8", digest.Slots, digest.Evacuated)
+	}
+	toFollower := &schema.RegionLoad{Region: "r", Loads: leader.Loads("r", "follower")}
+	for i, x := range []*Table{leader, leader, follower, follower} {
+		fromLeader := toFollower
+		if x == leader {
+			fromLeader = nil
+		}
+		for range 2 { // the second time from the sums that are kept
+			got := x.LoadsFor(&schema.Peer{Name: fmt.Sprint("h", i), Region: "r"}, fromLeader)
+			if diff := cmp.Diff(want, got[0].Demands, protocmp.Transform()); diff != "" {
+				t.Errorf("host %d: -want +got\n%s", i, diff)
+			}
+		}
+	}
+}
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -80,6 +80,7 @@
 // and those that start with it.
 func (c *Control) newCluster(clock *timer.Service, first bool) *controller.Cluster {
 	table := &cataloger.Table{Timer: clock, AnnounceInterval: c.AnnounceInterval, DrainTime: c.DrainTime, IsFirst: first}
+	table.Evacuated = func() func(string) bool { return c.controller.Distributor.Current().Evacuated }
 	c.unusable = newUnusableReports(clock, c.Log)
 	table.OnUnusable = c.unusable.record
 	table.Start()
