Choose regions by the assignment of demand, in adaptive mode

Cause: see the assigner.

Change: in adaptive mode entry hosts report the demand of their callers. With each refresh they assign the demand of all regions; the weights replace slots in the hash of shared prefixes and decide where other requests go. A region that the assignment fills gets no further work while another one has room. Without adaptive mode, demand or digests of the last 2 s the choice is as before. Metrics trefoil_assigned_weight, trefoil_demand_engines, trefoil_capacity_engines; log line "assignment of demand changed", at most one in 2 s for each pool.

Not measured on the platform's own load.

--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -8,6 +8,7 @@
 //	charge        charge the customer's limits
 //	route         serve here, or relay to another region
 //	offload       choose the region of a stream by shared prefix and load
+//	assign        measure demand, and assign it to regions where capacity is scarce
 //	monitor       detect regions that do not respond
 //	quarantine    refuse it if a part of its prompt crashes upstreams
 //	attempt       send it to an upstream, and perhaps retry at another
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,6 +69,9 @@
 	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
 
+	// Adaptive reports whether work is assigned to regions by demand. Nil: it is not.
+	Adaptive func() bool
+
 	index         atomic.Pointer[index]
 	mu            sync.Mutex
 	regionDigests []*schema.RegionDigest // guarded by mu
@@ -78,6 +81,7 @@
 	durations     durationHistory
 	leavers       leaverSet
 	usage         routeUsage
+	assignments   assignments
 	inflight      atomic.Int64
 }
 
@@ -125,6 +129,7 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	f.recordDemand(r)
 	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(ctx, r.answerUntil)
 	defer cancel()
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -185,7 +185,16 @@
 // nextRegion returns the least loaded one of the other regions that may serve a request and were not asked;
 // empty if there is none.
 func (f *Forwarder) nextRegion(r *Request, asked map[string]bool) string {
-	for _, x := range f.otherRegions(r) {
+	others := f.otherRegions(r)
+	if o := f.assignment(r.pool); o != nil && !r.relayed {
+		if len(asked) == 0 && !r.allows(f.Region) {
+			if region := f.assignedHome(o, r, others); region != "" {
+				return region
+			}
+		}
+		others = fullLast(o, others)
+	}
+	for _, x := range others {
 		if !asked[x.region] {
 			return x.region
 		}
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -12,6 +12,8 @@
 	relaysWithheld                    prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
 	slotWait                          prometheus.Histogram
+	// Of the assignment of demand to regions.
+	weight, demand, capacity *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics that are not registered yet; all are zero.
@@ -20,6 +22,15 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 	}
 	return &Metrics{
+		weight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "trefoil_assigned_weight", Help: "Fraction of work that is assigned to a region, by pool, homes and callers' region (empty: prompts with long shared prefixes).",
+		}, []string{"pool", "homes", "caller", "region"}),
+		demand: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "trefoil_demand_engines", Help: "Demand of a region's callers in engine seconds a second, by pool and homes.",
+		}, []string{"pool", "homes", "region"}),
+		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "trefoil_capacity_engines", Help: "Capacity of a region in engine seconds a second, as assigned by, by pool.",
+		}, []string{"pool", "region"}),
 		answered:       counter("trefoil_requests_answered_total", "Requests answered by an upstream here, by pool.", "pool"),
 		attemptsFailed: counter("trefoil_tries_failed_total", "Tries at upstreams that gave no answer, by pool.", "pool"),
 		refused:        counter("trefoil_requests_refused_total", "Requests refused, by cause.", "cause"),
@@ -49,5 +60,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait, m.weight, m.demand, m.capacity}
 }
--- a/internal/forwarder/monitor.go
+++ b/internal/forwarder/monitor.go
@@ -78,6 +78,14 @@
 	return true, true
 }
 
+// isUnresponsive reports whether a reply from a region is overdue.
+func (m *regionMonitor) isUnresponsive(region string, now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.regions[region]
+	return c != nil && c.unresponsive(now)
+}
+
 func (c *regionState) unresponsive(now time.Duration) bool {
 	return c.awaitingSince > 0 && now-c.awaitingSince > replyTimeout
 }
--- a/internal/forwarder/offload.go
+++ b/internal/forwarder/offload.go
@@ -36,6 +36,9 @@
 	utilization := f.Scheduler.PoolUtilization(w)
 	here := regionLoad{f.Region, utilization.UsedFraction, float64(utilization.Slots)}
 	others := f.responsiveRegions(f.otherRegions(r))
+	if o := f.assignment(r.pool); o != nil {
+		return assignedRegion(o, r, w.SharedReadRatio() > minSharedReadRatio, here, others, rand.Float64)
+	}
 	if w.SharedReadRatio() > minSharedReadRatio {
 		return preferredRegion(r.sharedPrefix(), here, others)
 	}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -252,6 +252,16 @@
 	return float64(readTime(w.InputTokens-own)) / float64(max(1, readTime(own)+time.Duration(w.OutputTokens)*outputTokenTime))
 }
 
+// EngineTime returns the time of an upstream's capacity that the request is expected to need, whatever is cached:
+// an engine prefills its own tokens, which holds up all that run, and makes its output tokens in steps that all
+// slots share. A plain service has a slot occupied.
+func (w *Request) EngineTime(engine *schema.Engine) time.Duration {
+	if engine == nil {
+		return overheadDelay
+	}
+	return readTime(ownTokens(w)) + time.Duration(w.OutputTokens)*outputTokenTime/time.Duration(max(1, engine.Slots))
+}
+
 // ownTokens returns the number of tokens of the last part, which no other request shares.
 func ownTokens(w *Request) int64 {
 	if len(w.Parts) == 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -336,6 +336,24 @@
 	return o
 }
 
+// PoolCapacity returns the number of slots of a pool's upstreams in this region that may be used, as control hosts
+// count those of other regions, and the number of requests that run there or wait at this host.
+func (s *Scheduler) PoolCapacity(pool string) (slots, running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, w := s.Config(), &Request{Pool: pool}
+	if p := s.pools[pool]; p != nil {
+		running = len(p.waiting)
+	}
+	for _, u := range s.sortedUpstreams {
+		if usable(c, u, w) && !u.leaving() && !u.announcement.Silent {
+			slots += int(u.announcement.Slots)
+			running += u.running + u.otherRunning
+		}
+	}
+	return slots, running
+}
+
 // HasVersion reports whether an upstream of a pool in this region runs a version of software and takes
 // requests.
 func (s *Scheduler) HasVersion(pool, version string) bool {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -134,6 +134,7 @@
 			e.refresher.ReportNow()
 		},
 		Streams: streams, OnStream: e.refresher.SendStreams, FindStream: e.refresher.FindStream,
+		Adaptive: func() bool { return e.adaptive(e.Table) },
 	}
 }
 
@@ -317,7 +318,7 @@
 	s := e.Settings
 	return &schema.Peer{
 		Name: s.Name, Region: s.Region, Domain: s.Domain, Listen: s.Listen, Internal: s.Internal,
-		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Loads: e.scheduler.OwnLoads(),
+		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Loads: e.Forwarder.WithDemands(e.scheduler.OwnLoads()),
 		Capacity: e.Capacity,
 	}
 }
@@ -331,6 +332,7 @@
 	e.scheduler.UpdateBroken(e.Table.BrokenAt())
 	e.scheduler.UpdateLimits(e.Table.Limits())
 	e.Forwarder.SetRegionDigests(digests)
+	e.Forwarder.UpdateAssignments(loads, digests)
 }
 
 // applyConfig updates what depends on the configuration. Upstreams of a failure domain whose
