Test the assignment under the load of the second deployment too

Cause: the simulation had the engines of the first deployment only, which have four times the slots.

Change: engines of 16 slots and the rates and objectives of the second deployment.

--- a/internal/forwarder/assign_test.go
+++ b/internal/forwarder/assign_test.go
@@ -27,6 +27,7 @@
 type site struct {
 	*timer.Service
 	random  *rand.Rand
+	slots   int32 // of each engine
 	regions []*siteRegion
 	// digestAge is the age of digests when they arrive; delay the time of the way to another region.
 	digestAge, delay time.Duration
@@ -66,17 +67,25 @@
 	startedAt, endsAt time.Duration
 }
 
-const siteSlots = 64
+// Slots and memory of the engines of the first deployment of docs/design/plan.md, and of the second one.
+const (
+	siteSlots, siteTokens     = 64, 186_691
+	secondSlots, secondTokens = 16, 147_071
+)
 
-// newSite returns a site with the given numbers of engines in its regions a, b, c and so on.
+// newSite returns a site with the given numbers of engines of the first deployment in its regions a, b, c and so on.
 func newSite(seed uint64, adaptive bool, engines ...int) *site {
+	return newSiteOf(seed, adaptive, siteSlots, siteTokens, engines...)
+}
+
+func newSiteOf(seed uint64, adaptive bool, slots int32, tokens int64, engines ...int) *site {
 	s := &site{
 		Service: &timer.Service{Clock: &timer.ManualClock{}}, random: rand.New(rand.NewPCG(seed, 11)), digestAge: 300 * time.Millisecond,
-		delay: 80 * time.Millisecond, counts: map[string]*siteCount{},
+		slots: slots, delay: 80 * time.Millisecond, counts: map[string]*siteCount{},
 	}
 	s.Advance(time.Hour)
 	c := configurer.FromMessage(&schema.Snapshot{Version: 1, Items: []*schema.Item{
-		{Path: "pool/p", Value: &schema.Item_Pool{Pool: &schema.Pool{Name: "p", Engine: &schema.Engine{Slots: siteSlots, Tokens: 186_691, Stride: 5}}}},
+		{Path: "pool/p", Value: &schema.Item_Pool{Pool: &schema.Pool{Name: "p", Engine: &schema.Engine{Slots: slots, Tokens: tokens, Stride: 5}}}},
 		{Path: "document", Value: &schema.Item_Document{Document: &schema.Document{Number: 1}}},
 	}})
 	for i, n := range engines {
@@ -89,8 +98,8 @@
 		var all []*schema.Announcement
 		for j := range n {
 			name := fmt.Sprint(r.name, j)
-			all = append(all, &schema.Announcement{Name: name, Address: name, Pool: "p", Region: r.name, Domain: r.name, Slots: siteSlots, Incarnation: 1})
-			r.engines[name] = &batchEngine{timer: s.Service}
+			all = append(all, &schema.Announcement{Name: name, Address: name, Pool: "p", Region: r.name, Domain: r.name, Slots: slots, Incarnation: 1})
+			r.engines[name] = &batchEngine{timer: s.Service, slots: int(slots), tokens: tokens}
 		}
 		r.host.Scheduler.UpdateUpstreams(all)
 		s.regions = append(s.regions, r)
@@ -107,7 +116,7 @@
 		if r.lost || r.cutOff {
 			continue
 		}
-		d := &schema.ModelDigest{Name: "p", Replicas: int32(len(r.engines)), Slots: int32(len(r.engines) * siteSlots)}
+		d := &schema.ModelDigest{Name: "p", Replicas: int32(len(r.engines)), Slots: int32(len(r.engines)) * s.slots}
 		for _, l := range r.host.WithDemands(r.host.Scheduler.OwnLoads()) {
 			for _, n := range l.Running {
 				d.Running += n
@@ -343,19 +352,28 @@
 		// without the assignment.
 		most    float64
 		turning bool
+		second  bool // the engines and kinds of the second deployment
 	}{
-		{"room in all regions", swing(0), swing(0), 1, false},
-		{"room in all regions, kinds in turns", swing(0), swing(2 * time.Second), 1, false},
-		{"bound work exceeds its regions at peaks", heavily(swing(0)), steady(1), 0.4, false},
-		{"all regions full at peaks", heavily(swing(0)), heavily(swing(0)), 0.8, false},
-		{"too much bound work throughout", steady(2.4), steady(2), 1, false},
-		{"callers move between regions", steady(2), steady(1.5), 1, true},
+		{"room in all regions", swing(0), swing(0), 1, false, false},
+		{"room in all regions, kinds in turns", swing(0), swing(2 * time.Second), 1, false, false},
+		{"bound work exceeds its regions at peaks", heavily(swing(0)), steady(1), 0.4, false, false},
+		{"all regions full at peaks", heavily(swing(0)), heavily(swing(0)), 0.8, false, false},
+		{"too much bound work throughout", steady(2.4), steady(2), 1, false, false},
+		{"callers move between regions", steady(2), steady(1.5), 1, true, false},
+		{"second deployment", swing(0), swing(0), 1, false, true},
+		{"second deployment, bound work exceeds its regions at peaks", heavily(swing(0)), steady(1), 1, false, true},
 	} {
 		var results [2]map[string]*siteCount
 		for i, adaptive := range []bool{false, true} {
 			s := newSite(1, adaptive, 28, 20, 14)
+			bound, unbound := boundKind(c.bound), unboundKind(c.unbound)
+			if c.second {
+				s = newSiteOf(1, adaptive, secondSlots, secondTokens, 64, 46, 32)
+				bound.rate, bound.objective = 254, 2*time.Second
+				unbound.rate, unbound.objective, unbound.rank = 188, 1200*time.Millisecond, 1
+			}
 			s.turning = c.turning
-			results[i] = s.run(12*time.Second, boundKind(c.bound), unboundKind(c.unbound))
+			results[i] = s.run(12*time.Second, bound, unbound)
 			for _, k := range []string{"bound", "unbound"} {
 				n := results[i][k]
 				t.Logf("%s, adaptive %v: %s: %d sent, %d refused, %d late (%.3f); %.3f of what was prefilled is shared prefixes", c.name, adaptive, k, n.sent, n.refused, n.late, n.bad(), s.reread())
--- a/internal/forwarder/engine_test.go
+++ b/internal/forwarder/engine_test.go
@@ -7,7 +7,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
-// Speeds of the engines of the first deployment in docs/design/plan.md. How much longer a step takes in a full batch
+// Speeds of the engines in docs/design/plan.md. How much longer a step takes in a full batch
 // is an assumption.
 const (
 	prefillPerSecond = 32_400
@@ -20,6 +20,8 @@
 // holds up the other, and whose steps take longer the more requests run.
 type batchEngine struct {
 	timer   *timer.Service
+	slots   int
+	tokens  int64       // memory
 	waiting []*batchJob // without a slot
 	unread  []*batchJob // the first one is being prefilled
 	running []*batchJob // they get a token in each step
@@ -47,7 +49,7 @@
 }
 
 func (e *batchEngine) admit() {
-	for len(e.waiting) > 0 && len(e.unread)+len(e.running) < siteSlots {
+	for len(e.waiting) > 0 && len(e.unread)+len(e.running) < e.slots {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		j.left = j.own
@@ -58,7 +60,7 @@
 			e.again += j.shared
 			e.cached = append(e.cached, j.prefix)
 			// Half of the memory is left for shared prefixes.
-			if most := max(1, int(186_691/2/max(1, j.shared))); len(e.cached) > most && j.shared > chunkTokens {
+			if most := max(1, int(e.tokens/2/max(1, j.shared))); len(e.cached) > most && j.shared > chunkTokens {
 				e.cached = e.cached[len(e.cached)-most:]
 			}
 		}
@@ -82,7 +84,7 @@
 		}
 	}
 	if n := len(e.running); n > 0 || prefilled != nil {
-		duration += time.Duration(float64(stepTime) * (1 + float64(n)*(fullStepFactor-1)/siteSlots))
+		duration += time.Duration(float64(stepTime) * (1 + float64(n)*(fullStepFactor-1)/float64(e.slots)))
 	}
 	e.timer.Once(duration, func() {
 		e.running = slices.DeleteFunc(e.running, func(j *batchJob) bool {
