--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,9 @@
 	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
 
+	// Adaptive reports whether work is assigned to regions by demand. Nil: it is not.
+	Adaptive func() bool
+
 	index         atomic.Pointer[index]
 	mu            sync.Mutex
 	regionDigests []*schema.RegionDigest // guarded by mu
@@ -81,6 +84,7 @@
 	durations     durationHistory
 	leavers       leaverSet
 	usage         routeUsage
+	assignments   assignments
 	inflight      atomic.Int64
 	spools        spoolMetrics
 }
@@ -134,6 +138,7 @@
 		defer spooled.Close()
 		sink = spooled
 	}
+	f.recordDemand(r)
 	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(ctx, r.answerUntil)
 	defer cancel()
