--- a/internal/forwarder/assign.go
+++ b/internal/forwarder/assign.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -348,7 +347,7 @@
 		k.Caller = ""
 		return preferredRegion(r.sharedPrefix(), regionLoad{}, weighted(o, k, others))
 	}
-	return drawRegion(weighted(o, k, others), rand.Float64())
+	return drawRegion(weighted(o, k, others), f.random())
 }
 
 // fullLast returns the regions with those last that the assignment fills while others have room.
--- a/internal/forwarder/assign_test.go
+++ b/internal/forwarder/assign_test.go
@@ -92,7 +92,7 @@
 		r := &siteRegion{name: string(rune('a' + i)), engines: map[string]*batchEngine{}}
 		r.host = &Forwarder{
 			Region: r.name, Timer: s.Service, Log: zerolog.Nop(), Metrics: NewMetrics(), Adaptive: func() bool { return adaptive },
-			Scheduler: &scheduler.Scheduler{Timer: s.Service, Config: func() *configurer.Snapshot { return c }, Random: s.random.IntN},
+			Scheduler: &scheduler.Scheduler{Timer: s.Service, Config: func() *configurer.Snapshot { return c }, Random: s.random.IntN}, Random: s.random.Float64,
 		}
 		r.host.Configure(c)
 		var all []*schema.Announcement
--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -32,7 +31,7 @@
 	if err := f.authenticate(r, x); err != nil {
 		return err
 	}
-	r.pool = pickPool(r.route, rand.Float64())
+	r.pool = pickPool(r.route, f.random())
 	r.priority = int(r.route.Priority)
 	if r.customer != nil && r.customer.Priority != nil {
 		r.priority = int(*r.customer.Priority)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 
 	// Adaptive reports whether work is assigned to regions by demand. Nil: it is not.
 	Adaptive func() bool
+	// Random returns a number in [0, 1) for the choice of a pool and a region. Nil means the global generator.
+	Random func() float64
 
 	index         atomic.Pointer[index]
 	mu            sync.Mutex
@@ -108,6 +111,13 @@
 	return f.regionDigests
 }
 
+func (f *Forwarder) random() float64 {
+	if f.Random != nil {
+		return f.Random()
+	}
+	return rand.Float64()
+}
+
 // Inflight returns the number of requests that are being served.
 func (f *Forwarder) Inflight() int64 { return f.inflight.Load() }
 
--- a/internal/forwarder/offload.go
+++ b/internal/forwarder/offload.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,7 +36,7 @@
 	here := regionLoad{f.Region, utilization.UsedFraction, float64(utilization.Slots)}
 	others := f.responsiveRegions(f.otherRegions(r))
 	if o := f.assignment(r.pool); o != nil {
-		return assignedRegion(o, r, w.SharedReadRatio() > minSharedReadRatio, here, others, rand.Float64)
+		return assignedRegion(o, r, w.SharedReadRatio() > minSharedReadRatio, here, others, f.random)
 	}
 	if w.SharedReadRatio() > minSharedReadRatio {
 		return preferredRegion(r.sharedPrefix(), here, others)
@@ -45,7 +44,7 @@
 	if here.load < minOffloadLoad {
 		return ""
 	}
-	return pickOffloadRegion(here.load, others, rand.Float64())
+	return pickOffloadRegion(here.load, others, f.random())
 }
 
 // preferredRegion returns the region that all hosts choose for a shared prefix, by a
