Bound what connections hold before their request is complete

Cause: net/http bounds the bytes of a head, but keeps 90 bytes for each of its fields, however small; grpc-go takes 16 MB of fields for a connection, and calls without bound, before the secret is looked at; nothing bounded the number of connections, so that callers could take the descriptors for upstreams and other hosts.

Change: package accepter. Its Gate bounds the connections of a process (by memory and descriptors, in all, by listener and by address) and charges heads to a budget until the response is written. Where room is needed it closes connections that have sent nothing, then the heads that have taken longest; these get 503 with Retry-After, heads of more than 6,000 lines 431, and their requests never run. A connection to the internal listener may send 64 KB until it shows the secret. Calls without it are refused before they have a goroutine (dialer.NewServer, also of the older program); fields of a call, calls on a connection and handshakes are bounded. Heads of more than 36 KB get 431 (68 KB before).

--- /dev/null
+++ b/internal/accepter/listener.go
@@ -0,0 +1,80 @@
+package accepter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+)
+
+// Listener accepts connections that its Gate bounds. Set the exported fields before use.
+type Listener struct {
+	net.Listener
+	Gate *Gate
+	// Name is that of the listener in metrics and log lines.
+	Name string
+	// Peers means that other hosts connect, which show a secret: see Trust.
+	Peers bool
+
+	count  count // guarded by Gate.mu
+	closed bool  // guarded by Gate.mu
+}
+
+// Accept waits for a connection for which there is room. One for which there is none is closed, with an answer that
+// says so.
+func (l *Listener) Accept() (net.Conn, error) {
+	l.Gate.init()
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: raw, listener: l, address: addressOf(raw)}
+		if l.Gate.admit(c) {
+			return c, nil
+		}
+		if !l.Peers {
+			c.writeAnswer(answerNoRoom)
+		}
+		_ = raw.Close()
+	}
+}
+
+// Close closes the listener. Its connections stay open.
+func (l *Listener) Close() error {
+	l.Gate.init()
+	l.Gate.mu.Lock()
+	l.closed = true
+	l.Gate.changed.Broadcast()
+	l.Gate.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// addressOf returns the IP address of a connection's peer; the zero value if it has none.
+func addressOf(c net.Conn) netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+type contextKey struct{}
+
+// Attach makes a server tell the state of the connections that it accepts from a Listener. It must be called before
+// the server serves, and after its Handler is set.
+func Attach(s *http.Server) {
+	handler := s.Handler
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if x, ok := c.(*Conn); ok {
+			x.setState(state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) }
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A head may be complete just as its connection is closed for another. Its caller was told that it has not run.
+		if c, ok := r.Context().Value(contextKey{}).(*Conn); ok && !c.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -21,8 +21,11 @@
 	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
+	"github.com/trefoilloft/trefoilloft/internal/accepter"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -41,6 +44,15 @@
 	// none: grpc compares their times by the time of day, and after that has jumped back closes
 	// connections on which calls run. Calls have deadlines, and the kernel probes idle connections.
 	earlierPingInterval = 10 * time.Second
+
+	// Size of all fields of a call together, as HPACK counts them. Calls have less than 1 KB; without this, grpc
+	// reads 16 MB for each connection before it looks for the secret.
+	maxCallFieldBytes = 32 << 10
+	// Calls that one connection may have at a time: the relays of one host to another, 33,000 requests/s of 9 regions
+	// that last for seconds, are fewer by far.
+	maxConnectionCalls = 4096
+	// Time that a connection has for its handshake; connections to other regions need two round trips.
+	handshakeTimeout = 5 * time.Second
 )
 
 // minCompressedBytes is the size of a message from which it is compressed: smaller ones fit in the
@@ -260,6 +272,20 @@
 	return grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.MaxHeaderListSize(maxCallFieldBytes), grpc.MaxConcurrentStreams(maxConnectionCalls), grpc.ConnectionTimeout(handshakeTimeout),
+		// Calls without the secret are refused before they take a goroutine and before their message is read.
+		grpc.InTapHandle(func(ctx context.Context, info *tap.Info) (context.Context, error) {
+			if !matchesSecret(info.Header, secret) {
+				if exempt(info.FullMethodName) {
+					return ctx, nil
+				}
+				return nil, ErrWrongSecret
+			}
+			if p, ok := peer.FromContext(ctx); ok {
+				accepter.Trust(p.Addr)
+			}
+			return ctx, nil
+		}),
 		// Hosts of earlier versions send pings, at these intervals at most.
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: earlierPingInterval / 2, PermitWithoutStream: true}),
 		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
@@ -290,6 +316,10 @@
 
 func hasSecret(ctx context.Context, secret string) bool {
 	md, _ := metadata.FromIncomingContext(ctx)
+	return matchesSecret(md, secret)
+}
+
+func matchesSecret(md metadata.MD, secret string) bool {
 	got := md.Get(secretHeader)
 	return len(got) == 1 && subtle.ConstantTimeCompare([]byte(got[0]), []byte(secret)) == 1
 }
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -49,7 +48,7 @@
 // Collectors returns the process's metrics, to be added to a registry. It must be called by Listeners or
 // later.
 func (c *Control) Collectors() []prometheus.Collector {
-	return slices.Concat(c.controller.Collectors(), BufferCollectors("requests", c.Requests), []prometheus.Collector{c.unusable.counter})
+	return slices.Concat(c.controller.Collectors(), BufferCollectors("requests", c.Requests), c.gateCollectors(), []prometheus.Collector{c.unusable.counter})
 }
 
 // Run serves until ctx ends or a component fails.
@@ -62,6 +61,7 @@
 		return err
 	}
 	clock := c.newClock()
+	c.gate = c.newGate(clock)
 	d := &dialer.Dialer{Secret: c.Settings.Secret, Timer: clock}
 	defer d.Close()
 	cluster := c.newCluster(clock, created && c.FirstStart)
@@ -98,9 +98,9 @@
 }
 
 func (c *Control) serve(ctx context.Context, clock *timer.Service, cluster *controller.Cluster) error {
-	l, err := net.Listen("tcp", c.Settings.Internal)
+	l, err := c.listenInternal()
 	if err != nil {
-		return fmt.Errorf("starter: internal listener: %w", err)
+		return err
 	}
 	grpcServer, err := dialer.NewServer(c.Settings.Secret, nil, func(string) bool { return false }, c.Log)
 	if err != nil {
@@ -108,7 +108,7 @@
 	}
 	schema.RegisterControlServiceServer(grpcServer, &controller.Service{Controller: c.controller})
 	schema.RegisterClusterServiceServer(grpcServer, &controller.ClusterService{Cluster: cluster})
-	servers, err := listenAll(c.Listeners(cluster, c), c.Log)
+	servers, err := listenThrough(c.gate, c.Listeners(cluster, c), c.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,6 +91,7 @@
 
 func (e *Entry) build() {
 	e.Timer = e.newClock()
+	e.gate = e.newGate(e.Timer)
 	e.incarnation = uint64(time.Now().UnixNano())
 	e.dialer = &dialer.Dialer{Secret: e.Settings.Secret, Timer: e.Timer, Log: e.Log}
 	e.Table = &cataloger.Table{Timer: e.Timer, AnnounceInterval: e.AnnounceInterval, DrainTime: e.DrainTime, IsMirror: true}
@@ -142,16 +141,16 @@
 	e.applyRuntimeLimits()
 	e.build()
 	defer e.dialer.Close()
-	l, err := net.Listen("tcp", e.Settings.Internal)
+	l, err := e.listenInternal()
 	if err != nil {
-		return fmt.Errorf("starter: internal listener: %w", err)
+		return err
 	}
 	grpcServer, err := dialer.NewServer(e.Settings.Secret, nil, func(string) bool { return false }, e.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
 	schema.RegisterRelayServiceServer(grpcServer, &forwarder.RelayService{Forwarder: e.Forwarder})
-	servers, err := listenAll(e.Listeners(e), e.Log)
+	servers, err := listenThrough(e.gate, e.Listeners(e), e.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
@@ -215,7 +214,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), []prometheus.Collector{e.unusable.counter, e.lists.counter})
 }
 
 // Stopping reports whether the process is shutting down.
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog/diode"
 	"google.golang.org/grpc"
 
+	"github.com/trefoilloft/trefoilloft/internal/accepter"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
@@ -43,10 +44,17 @@
 	// Heap growth in percent after which the garbage collector runs.
 	gcGrowthPercent = 60
 
+	// Part of the process's memory limit that connections may take whose requests are not complete, heads apart.
+	connectionParts = 4
+	// Part of the process's descriptors that connections to its listeners may take. The others are for upstreams,
+	// of which each request needs one, other hosts and files.
+	descriptorParts = 2
+
 	headerReadTimeout = 5 * time.Second
 	bodyReadTimeout   = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-	idleTimeout       = 90 * time.Second
+	// Callers may send heads of 16,384 bytes.
+	maxHeaderBytes = 32 << 10
+	idleTimeout    = 90 * time.Second
 )
 
 // Options are the settings that both roles need.
@@ -73,6 +81,8 @@
 	// Contended is set where callers compete for too little room.
 	Contended bool
 	Log       zerolog.Logger
+
+	gate *accepter.Gate // set by Run
 }
 
 // adaptive reports whether requests are placed, ordered and charged by expected cost and demand: where callers
@@ -103,6 +113,32 @@
 	return &bufferer.Budget{Max: o.MaxMemoryBytes / bufferParts}
 }
 
+// newGate returns what bounds the connections of the process and the heads that they send.
+func (o *Options) newGate(clock *timer.Service) *accepter.Gate {
+	g := &accepter.Gate{Budget: o.newBudget(), Timer: clock, Log: o.Log}
+	if o.MaxMemoryBytes > 0 {
+		g.MaxConns = max(1, int(o.MaxMemoryBytes/connectionParts/accepter.ConnBytes))
+	}
+	if n := o.MaxDescriptors / descriptorParts; n > 0 && (g.MaxConns == 0 || n < g.MaxConns) {
+		g.MaxConns = n
+	}
+	return g
+}
+
+// listenInternal opens the listener for other hosts.
+func (o *Options) listenInternal() (net.Listener, error) {
+	l, err := net.Listen("tcp", o.Settings.Internal)
+	if err != nil {
+		return nil, fmt.Errorf("starter: internal listener: %w", err)
+	}
+	return &accepter.Listener{Listener: l, Gate: o.gate, Name: "internal", Peers: true}, nil
+}
+
+// gateCollectors returns the metrics of connections and heads.
+func (o *Options) gateCollectors() []prometheus.Collector {
+	return append(o.gate.Collectors(), BufferCollectors("heads", o.gate.Budget)...)
+}
+
 // BufferCollectors returns the metrics of a budget that bounds the named kind of buffers.
 func BufferCollectors(kind string, b *bufferer.Budget) []prometheus.Collector {
 	labels := prometheus.Labels{"kind": kind}
@@ -165,8 +201,13 @@
 	return h
 }
 
-// listenAll opens all listeners, or none if one fails.
+// listenAll opens all listeners with the bounds of a process without limits, or none if one fails.
 func listenAll(listeners []Listener, log zerolog.Logger) ([]*httpServer, error) {
+	return listenThrough((&Options{Log: log}).newGate(nil), listeners, log)
+}
+
+// listenThrough opens all listeners, or none if one fails. The gate bounds their connections.
+func listenThrough(gate *accepter.Gate, listeners []Listener, log zerolog.Logger) ([]*httpServer, error) {
 	var all []*httpServer
 	for _, l := range listeners {
 		ln, err := net.Listen("tcp", l.Address)
@@ -175,10 +216,12 @@
 			return nil, fmt.Errorf("starter: %s listener: %w", l.Name, err)
 		}
 		log := log.With().Str("listener", l.Name).Logger()
-		all = append(all, newHTTPServer(l.Name, ln, &http.Server{
+		server := &http.Server{
 			Handler: expirer.Handler(recoverRequests(l, log), bodyReadTimeout), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: stdlog.New(log, "", 0), DisableGeneralOptionsHandler: true,
-		}))
+		}
+		accepter.Attach(server)
+		all = append(all, newHTTPServer(l.Name, &accepter.Listener{Listener: ln, Gate: gate, Name: l.Name}, server))
 	}
 	return all, nil
 }
@@ -253,7 +296,7 @@
 	if err != nil {
 		return // the handler has taken the connection
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only if the connection has ended
 	}
 	_ = c.Close()
