Order waiting requests by customer, refuse at once, and promise returning callers a place

The queue for slots ordered by rank and objective only. A customer that sent six times its usual load displaced all others of its rank; a less urgent kind with a longer objective was served while a more urgent one was refused; requests waited 0.35 of their objective before they were refused; refused callers were told times at which they met again.

Where the Scheduler is adaptive (Options.Contended, or hosts of unequal capacity) its pools now use sharer and forecaster: start-time fair queueing within a rank, a twentieth of the slots for lower ranks, refusal by forecast, and promised places for callers that return in time, which hosts of a region report to each other (PoolLoad.promises, new in the schema). A caller that comes early is refused before anything is sent.

At several hosts slots stay free by the slot quotas, which this does not change. Not measured in a deployment.

--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -61,7 +61,7 @@
 		if regions[p.report.Region] == nil {
 			regions[p.report.Region] = map[string]*schema.PoolLoad{}
 		}
-		addLoads(regions[p.report.Region], p.report.Loads)
+		addLoads(regions[p.report.Region], p.report.Loads, now-p.reportedAt)
 	}
 	var out []*schema.RegionLoad
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
@@ -85,7 +85,7 @@
 	t.addControlLoads(sums, region, exceptControl, now)
 	for _, p := range t.hosts {
 		if p.report.Region == region && t.directLoadOf(p, now) {
-			addLoads(sums, p.report.Loads)
+			addLoads(sums, p.report.Loads, now-p.reportedAt)
 		}
 	}
 	return sortedLoads(sums)
@@ -98,7 +98,7 @@
 		}
 		for _, r := range c.regions {
 			if r.Region == region {
-				addLoads(sums, r.Loads)
+				addLoads(sums, r.Loads, now-c.receivedAt)
 			}
 		}
 	}
@@ -106,8 +106,9 @@
 
 // LoadsFor returns the load of the other entry hosts of a host's region. fromLeader is the load of the
 // region's hosts that report to other control hosts, as received from the leader; nil on the leader.
-// The result may be as old as loadCacheDuration.
-func (t *Table) LoadsFor(host *schema.Peer, fromLeader *schema.RegionLoad) []*schema.PoolLoad {
+// leaderAge is the time since then. The result may be as old as loadCacheDuration. Promises include the host's
+// own.
+func (t *Table) LoadsFor(host *schema.Peer, fromLeader *schema.RegionLoad, leaderAge time.Duration) []*schema.PoolLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
@@ -115,13 +116,13 @@
 	if total == nil || now-total.computedAt >= loadCacheDuration {
 		total = &regionTotal{computedAt: now, sums: map[string]*schema.PoolLoad{}, included: map[string]*schema.Peer{}}
 		if fromLeader != nil {
-			addLoads(total.sums, fromLeader.Loads)
+			addLoads(total.sums, fromLeader.Loads, leaderAge)
 		} else {
 			t.addControlLoads(total.sums, host.Region, "", now)
 		}
 		for name, p := range t.hosts {
 			if p.report.Region == host.Region && t.directLoadOf(p, now) {
-				addLoads(total.sums, p.report.Loads)
+				addLoads(total.sums, p.report.Loads, now-p.reportedAt)
 				total.included[name] = p.report
 			}
 		}
@@ -130,14 +131,17 @@
 		}
 		t.regionTotals[host.Region] = total
 	}
-	return total.without(host.Name)
+	return total.without(host.Name, now-total.computedAt)
 }
 
-// without returns the loads less those of one host, sorted by pool.
-func (r *regionTotal) without(host string) []*schema.PoolLoad {
+// without returns the loads, computed some time ago, less those of one host, sorted by pool.
+func (r *regionTotal) without(host string, age time.Duration) []*schema.PoolLoad {
 	sums := map[string]*schema.PoolLoad{}
 	for pool, l := range r.sums {
 		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading)}
+		for _, x := range l.Promises {
+			sums[pool].Promises = append(sums[pool].Promises, agedPromise(x, age))
+		}
 	}
 	for _, l := range r.included[host].GetLoads() {
 		s := sums[l.Pool]
@@ -225,7 +229,12 @@
 	return out
 }
 
-func addLoads(sums map[string]*schema.PoolLoad, loads []*schema.PoolLoad) {
+// maxPromises bounds the promises of a pool that are passed on to each host: with reports each 0.4 s some
+// 20 KB/s.
+const maxPromises = 256
+
+// addLoads adds loads that were reported some time ago to sums by pool.
+func addLoads(sums map[string]*schema.PoolLoad, loads []*schema.PoolLoad, age time.Duration) {
 	for _, l := range loads {
 		s := sums[l.Pool]
 		if s == nil {
@@ -239,9 +248,16 @@
 		for name, n := range l.Reading {
 			s.Reading[name] += n
 		}
+		for _, x := range l.Promises[:min(len(l.Promises), maxPromises-len(s.Promises))] {
+			s.Promises = append(s.Promises, agedPromise(x, age))
+		}
 	}
 }
 
+func agedPromise(x *schema.Promise, age time.Duration) *schema.Promise {
+	return &schema.Promise{Content: x.Content, Wait: x.Wait - age.Seconds(), Lead: x.Lead, Early: x.Early, Placed: x.Placed}
+}
+
 func sortedLoads(sums map[string]*schema.PoolLoad) []*schema.PoolLoad {
 	return slices.SortedFunc(maps.Values(sums), func(a, b *schema.PoolLoad) int { return cmp.Compare(a.Pool, b.Pool) })
 }
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -23,7 +24,7 @@
 func (k *Cluster) fillLoads(host *schema.Peer, reply *schema.RefreshReply) {
 	now := k.c.Timer.Now()
 	if k.c.view.Load().holdsLease(now) {
-		reply.Loads = k.Table.LoadsFor(host, nil)
+		reply.Loads = k.Table.LoadsFor(host, nil, 0)
 		reply.Digests = k.Table.Digests(host.Region)
 		return
 	}
@@ -31,22 +32,22 @@
 	lastReply, lastReplyRequestedAt := k.lastReply, k.lastReplyRequestedAt
 	k.mu.Unlock()
 	if lastReply != nil && now-lastReplyRequestedAt < maxReplyAge {
-		fillFollowerLoads(k.Table, k.Self.Region, lastReply, host, reply)
+		fillFollowerLoads(k.Table, k.Self.Region, lastReply, now-lastReplyRequestedAt, host, reply)
 		return
 	}
-	reply.Loads = k.Table.LoadsFor(host, nil)
+	reply.Loads = k.Table.LoadsFor(host, nil, 0)
 }
 
 // fillFollowerLoads adds the load as the leader sent it last to this control host, which is of the
-// region ownRegion.
-func fillFollowerLoads(t *cataloger.Table, ownRegion string, fromLeader *schema.ConsultReply, host *schema.Peer, reply *schema.RefreshReply) {
+// region ownRegion, some time ago.
+func fillFollowerLoads(t *cataloger.Table, ownRegion string, fromLeader *schema.ConsultReply, age time.Duration, host *schema.Peer, reply *schema.RefreshReply) {
 	region := &schema.RegionLoad{Region: host.Region}
 	if host.Region == ownRegion {
 		region.Loads = fromLeader.Loads
 	} else if i := slices.IndexFunc(fromLeader.Regions, func(x *schema.RegionLoad) bool { return x.Region == host.Region }); i >= 0 {
 		region = fromLeader.Regions[i]
 	}
-	reply.Loads = t.LoadsFor(host, region)
+	reply.Loads = t.LoadsFor(host, region, age)
 	for _, d := range fromLeader.Digests {
 		if d.Region != host.Region {
 			reply.Digests = append(reply.Digests, d)
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -10,6 +10,8 @@
 const (
 	// Fraction of a caller's remaining time up to which it waits as told; callers ignore longer delays.
 	maxDelayFraction = 1.0 / 3
+	// Longest delay that callers are told: requests are remembered for 30 s.
+	maxDelay = 25 * time.Second
 	// Fraction of the longest delay within which callers are told a time without a place, so that they
 	// do not return together.
 	noPlaceSpread = 0.1
@@ -19,9 +21,12 @@
 	// PassedAfter is the time after a promised one at which the place is given up: a round trip between
 	// regions and a new connection.
 	PassedAfter = 500 * time.Millisecond
-	// DueWithin is the time before a promised one from which a slot is held for it: one interval of the
-	// dispatch of waiting requests.
+	// DueWithin is the time before and after a promised one in which a slot is held for it: one interval of
+	// the dispatch of waiting requests. Many callers return to other hosts.
 	DueWithin = 50 * time.Millisecond
+	// Fraction of the slots that are promised. The rest is left to newcomers, which can still meet their
+	// objectives: under a lasting overload all would be late otherwise.
+	promisedFraction = 0.3
 	// Largest number of promises that are pending, at some 50 bytes each.
 	maxPromises = 1024
 	// Longest wait that a forecast states.
@@ -46,6 +51,10 @@
 type Promise struct {
 	Key      uint64 // of the request
 	Position Position
+	// Customer, Weight and Cost are what its customer was charged for the place.
+	Customer string
+	Weight   float64
+	Cost     time.Duration
 	// At is the time that was told; From is the beginning of the place of the forecast, which is as long as
 	// Length.
 	At, From, Length time.Duration
@@ -64,15 +73,18 @@
 // Pending returns the number of pending promises.
 func (f *Forecast) Pending() int { return len(f.promises) }
 
-// Expire gives up the places of promises that have passed.
-func (f *Forecast) Expire(now time.Duration) {
+// Expire gives up the places of promises that have passed, and returns them.
+func (f *Forecast) Expire(now time.Duration) []Promise {
+	var passed []Promise
 	f.promises = slices.DeleteFunc(f.promises, func(p Promise) bool {
 		if now <= p.At+PassedAfter {
 			return false
 		}
-		f.Passed++
+		passed = append(passed, p)
 		return true
 	})
+	f.Passed += uint64(len(passed))
+	return passed
 }
 
 // Wait returns how long a request is expected to wait for a slot behind the given number of waiting
@@ -108,37 +120,37 @@
 		if x.From > now+DueWithin {
 			break
 		}
-		if x.Position.precedes(p) && x.At <= now+DueWithin && now <= x.At+PassedAfter {
+		if x.Position.precedes(p) && x.At <= now+DueWithin && now <= x.At+DueWithin {
 			n++
 		}
 	}
 	return n
 }
 
-// Promise chooses the time at which a refused caller is to return, remaining being the time to its
-// deadline. It returns false if no place of the forecast is early enough: nothing is then promised, and
-// the time is the latest that a caller waits for.
-func (f *Forecast) Promise(key uint64, s Supply, p Position, ahead float64, remaining, now time.Duration) (time.Duration, bool) {
-	latest := now + time.Duration(max(0, float64(remaining)*maxDelayFraction))
-	length := interval(s.Rate, 1)
-	from := now + max(MinDelay, interval(s.Rate, ahead+1-s.Free))
-	for _, x := range f.promises {
-		if x.From >= from+length {
+// Promise chooses the time at which a refused caller is to return, remaining being the time to its deadline, and
+// returns x with it. It returns false if no place of the forecast is early enough: nothing is then promised, and the
+// time is the latest that a caller waits for.
+func (f *Forecast) Promise(x Promise, s Supply, ahead float64, remaining, now time.Duration) (Promise, bool) {
+	latest := now + min(maxDelay, time.Duration(max(0, float64(remaining)*maxDelayFraction)))
+	x.Length = interval(s.Rate, 1/promisedFraction)
+	x.From = now + max(MinDelay, interval(s.Rate, ahead+1-s.Free))
+	for _, y := range f.promises {
+		if y.From >= x.From+x.Length {
 			break
 		}
-		if x.Position.precedes(p) {
-			from = max(from, x.From+x.Length)
+		if y.Position.precedes(x.Position) {
+			x.From = max(x.From, y.From+y.Length)
 		}
 	}
-	if from >= latest || len(f.promises) >= maxPromises {
-		return latest - time.Duration(f.random()*noPlaceSpread*float64(latest-now)), false
+	if x.From >= latest || len(f.promises) >= maxPromises {
+		x.At = latest - time.Duration(f.random()*noPlaceSpread*float64(latest-now))
+		return x, false
 	}
-	at := from + time.Duration(f.random()*float64(min(length, latest-from)))
-	x := Promise{Key: key, Position: p, At: at, From: from, Length: length}
+	x.At = x.From + time.Duration(f.random()*float64(min(x.Length, latest-x.From)))
 	i, _ := slices.BinarySearchFunc(f.promises, x, func(a, b Promise) int { return cmp.Compare(a.From, b.From) })
 	f.promises = slices.Insert(f.promises, i, x)
 	f.Made++
-	return at, true
+	return x, true
 }
 
 func (f *Forecast) random() float64 {
@@ -148,13 +160,15 @@
 	return f.Random()
 }
 
-// Drop gives up the place of a request that returned.
-func (f *Forecast) Drop(key uint64) bool {
+// Drop gives up the place of a request, and returns it; false if it has none.
+func (f *Forecast) Drop(key uint64) (Promise, bool) {
 	i := slices.IndexFunc(f.promises, func(x Promise) bool { return x.Key == key })
-	if i >= 0 {
-		f.promises = slices.Delete(f.promises, i, i+1)
+	if i < 0 {
+		return Promise{}, false
 	}
-	return i >= 0
+	x := f.promises[i]
+	f.promises = slices.Delete(f.promises, i, i+1)
+	return x, true
 }
 
 // Flow is a moving average of a rate of events.
--- a/internal/forecaster/returns.go
+++ b/internal/forecaster/returns.go
@@ -11,6 +11,8 @@
 	// Time by which a caller may come before the told one: delays are told in whole milliseconds, and
 	// clocks of callers differ a little in speed.
 	earlyTolerance = 10 * time.Millisecond
+	// The same if another host told the time: the way of its report is not known exactly.
+	importTolerance = 150 * time.Millisecond
 	// DefaultMaxReturns bounds the refused requests that are remembered, at some 200 bytes each.
 	DefaultMaxReturns = 4096
 )
@@ -20,10 +22,12 @@
 	Key           uint64
 	ToldAt, DueAt time.Duration
 	Position      Position
-	// Placed is set if the forecast has a place for it at DueAt.
+	// Placed is set if the forecast has a place for it at DueAt, which its customer was charged for.
 	Placed bool
 	// Early is set once the caller has come before DueAt: it then has no claim.
 	Early bool
+	// Imported is set if another host told the time.
+	Imported bool
 }
 
 // Returns holds the requests that may return. The zero value is empty. It is not safe for concurrent use.
@@ -55,6 +59,33 @@
 	r.entries[x.Key] = r.order.PushBack(&x)
 }
 
+// Import adds a request that another host told a time, unless this host knows a later one.
+func (r *Returns) Import(x Return, now time.Duration) {
+	if e := r.entries[x.Key]; e != nil {
+		known := e.Value.(*Return)
+		if !known.Imported || known.DueAt > x.DueAt {
+			return
+		}
+	}
+	x.Imported = true
+	r.Add(x, now)
+}
+
+// Newest returns the requests that this host told a time since then, at most n, the newest first.
+func (r *Returns) Newest(n int, since time.Duration) []Return {
+	var all []Return
+	for e := r.order.Back(); e != nil && len(all) < n; e = e.Prev() {
+		x := e.Value.(*Return)
+		if x.ToldAt < since {
+			break
+		}
+		if !x.Imported {
+			all = append(all, *x)
+		}
+	}
+	return all
+}
+
 // Remove forgets a request.
 func (r *Returns) Remove(key uint64) {
 	if e := r.entries[key]; e != nil {
@@ -73,7 +104,12 @@
 }
 
 // IsEarly reports whether a caller that comes now comes before the told time.
-func (x *Return) IsEarly(now time.Duration) bool { return now < x.DueAt-earlyTolerance }
+func (x *Return) IsEarly(now time.Duration) bool {
+	if x.Imported {
+		return now < x.DueAt-importTolerance
+	}
+	return now < x.DueAt-earlyTolerance
+}
 
 func (r *Returns) expire(now time.Duration) {
 	for e := r.order.Front(); e != nil && now-e.Value.(*Return).ToldAt > returnAge; e = r.order.Front() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -179,7 +179,7 @@
 	if !r.mayHaveRun {
 		f.refund(r)
 	}
-	t.refuse(sink, r.finalRefusal(refusalOf(err)))
+	t.refuse(sink, f.withPromise(r, r.finalRefusal(refusalOf(err))))
 }
 
 var errTruncated = errors.New("forwarder: response truncated after its head was sent")
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -183,10 +183,11 @@
 }
 
 // nextRegion returns the least loaded one of the other regions that may serve a request and were not asked;
-// empty if there is none.
+// empty if there is none. A request that no slot was forecast for here is not passed to full regions, unless
+// it was refused before.
 func (f *Forwarder) nextRegion(r *Request, asked map[string]bool) string {
 	for _, x := range f.otherRegions(r) {
-		if !asked[x.region] {
+		if full := r.refusedHere && !r.claim.Returned && x.load >= fullRegionLoad && f.adaptive(); !asked[x.region] && !full {
 			return x.region
 		}
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -23,6 +23,8 @@
 	Err error
 	// Part is the ID of the quarantined part of the prompt, for the log only; empty for other causes.
 	Part string
+	// Forecast is what a refusal for want of a slot rests on, for the log only; nil if none was made.
+	Forecast *scheduler.Forecast
 	// Software is the version that began the stream, for the log only; empty for other causes.
 	Software string
 }
@@ -39,6 +41,7 @@
 	causeNoLender           = "the customer's limits cannot be confirmed"
 	causeOverRate           = "the customer is over its rate"
 	causeFull               = "no upstream has a place in time"
+	causeEarly              = "the caller came before the time that it was told"
 	causeNoUpstream         = "no upstream may be used"
 	causeNoHome             = "no region that may serve it can be reached"
 	causeTimeout            = "the time limit passed"
@@ -81,7 +84,13 @@
 	case errors.As(err, &over):
 		return refuse(http.StatusTooManyRequests, causeOverRate, over.RetryAfter)
 	case errors.As(err, &full):
-		return refuse(http.StatusServiceUnavailable, causeFull, full.RetryAfter)
+		cause := causeFull
+		if full.Early {
+			cause = causeEarly
+		}
+		f := refuse(http.StatusServiceUnavailable, cause, full.RetryAfter)
+		f.Forecast = full.Forecast
+		return f
 	case errors.Is(err, scheduler.ErrNoUpstream):
 		return refuse(http.StatusServiceUnavailable, causeNoUpstream, unavailableRetryDelay)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -59,6 +59,8 @@
 	avoid         map[string]uint64 // processes of upstreams that may not run it, by name
 	lastResort    bool              // only an upstream that is leaving can serve it
 	recorded      bool              // the stream that it began is in the Forwarder's Streams
+	claim         scheduler.Claim   // what it may claim because it was refused before
+	refusedHere   bool              // no slot of this region was forecast in time
 	originUnknown bool              // another process than that of software may have begun the stream
 }
 
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -11,6 +11,9 @@
 // dispatch serves a request in this region, or relays it to another one if this region may
 // not serve it, has no free slot, or offloads it.
 func (f *Forwarder) dispatch(ctx context.Context, r *Request, sink Sink, t *trace) error {
+	if err := f.claim(r); err != nil {
+		return err
+	}
 	s := &responseState{}
 	err := f.serveHere(ctx, r, sink, t, s)
 	if errors.Is(err, errNotHome) && !r.mayHaveRun && ctx.Err() == nil {
@@ -32,6 +35,7 @@
 		}
 	}
 	err := f.serveLocally(ctx, r, sink, t, s)
+	r.noteForecast(err)
 	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
 	noSlot := errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
 	if noSlot && r.reached == 0 && ctx.Err() == nil {
@@ -108,5 +112,6 @@
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
 		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
+		Customer: r.Customer(), Weight: r.customer.GetWeight(), Key: r.returnKey(), Claim: r.claim,
 	}
 }
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -101,6 +101,9 @@
 	if x.Software != "" {
 		e = e.Str("software", x.Software)
 	}
+	if o := x.Forecast; o != nil {
+		e = e.Bool("returned", t.r.claim.Returned).Bool("promised", o.Placed).Dict("forecast", forecastFields(o))
+	}
 	e.Err(x.Err).Int("status", x.Status).Str("cause", x.Cause).Dur("retry", x.RetryAfter).
 		Float64("tokens", t.r.chargedTokens).Bool("unsure", t.r.mayHaveRun).Msg("refused")
 	sink.Refuse(x)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/sharer"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -39,6 +40,10 @@
 type NoSlotError struct {
 	Pool       string
 	RetryAfter time.Duration
+	// Early is set if the caller came before the time that it was told.
+	Early bool
+	// Forecast is what the refusal rests on, for the log; nil if none was made.
+	Forecast *Forecast
 }
 
 // Error names the pool and the delay until a slot is expected.
@@ -68,6 +73,13 @@
 	InputTokens, OutputTokens int64
 	// Rank orders waiting requests; 0 is served first.
 	Rank int
+	// Customer is the name of the customer, Weight its weight where capacity is short; 0 counts as 1.
+	Customer string
+	Weight   float64
+	// Key is equal for all repeats of the request, whatever the caller says of itself; 0 if it is not to
+	// be recognised. Claim is what the Scheduler returned for it.
+	Key   uint64
+	Claim Claim
 	// ObjectiveAt is the time by which the first token should come, Deadline the time at
 	// which the request fails; both are on the clock of Timer.
 	ObjectiveAt, Deadline time.Duration
@@ -104,6 +116,9 @@
 	// DrainTime is the time, from the first answer that says that an upstream is leaving, after which
 	// nothing may reach it. 0: it gets nothing once it said so.
 	DrainTime time.Duration
+	// Adaptive reports whether requests are placed and ordered by expected cost and demand. Nil means that
+	// they are not.
+	Adaptive func() bool
 	// Random returns a number in [0, n). Nil means the global generator.
 	Random func(n int) int
 
@@ -112,12 +127,14 @@
 	sortedUpstreams []*upstream            // the upstreams, sorted by name; guarded by mu
 	pools           map[string]*pool       // guarded by mu
 	kept            map[string]answerState // of upstreams that are not announced, by name; guarded by mu
+	loadsAt         time.Duration          // when the load of the other hosts was received; guarded by mu
 	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
 }
 
 // pool holds the waiting requests of one pool and its learned delays.
 type pool struct {
 	waiting []*waiter // sorted by compareUrgency
+	fair    fairQueue // used instead of waiting while the Scheduler is adaptive
 	// releaseInterval is a moving average of the interval between two releases of a slot;
 	// releasedAt is the time of the last one, 0 before the first.
 	releaseInterval time.Duration
@@ -132,7 +149,13 @@
 	request     *Request
 	enqueuedAt  time.Duration
 	reservation *Reservation  // nil while it waits
-	done        chan struct{} // closed by dispatch once it has a reservation
+	done        chan struct{} // closed once it has a reservation or was evicted
+	// entry is the request's place in the fair queue, nil if it waits in pool.waiting. It waits until
+	// waitUntil; forecastWait is the wait that was expected.
+	entry        *sharer.Entry[*waiter]
+	waitUntil    time.Duration
+	forecastWait time.Duration
+	evicted      bool // it gets no reservation; set before done is closed
 }
 
 // Reservation is the reservation of a slot at an upstream for one request. Release must be called
@@ -173,16 +196,23 @@
 	if err != nil || x.reservation != nil {
 		return x.heldReservation(), err
 	}
+	limit := s.waitLimit(w)
+	if x.entry != nil {
+		limit = x.waitUntil - s.Timer.Now()
+	}
 	waitExpired := make(chan struct{})
-	cancel := s.Timer.Once(s.waitLimit(w), func() { close(waitExpired) })
+	cancel := s.Timer.Once(limit, func() { close(waitExpired) })
 	defer cancel()
 	select {
 	case <-x.done:
+		if x.evicted {
+			return nil, s.noSlotError(x)
+		}
 		return x.reservation, nil
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-waitExpired:
-		err = s.noSlotError(w)
+		err = s.noSlotError(x)
 	}
 	if s.cancelWait(x) {
 		return nil, err
@@ -216,6 +246,9 @@
 		}
 		return nil, ErrNoUpstream
 	}
+	if s.adaptive() {
+		return s.reserveOrWait(p, x, candidates, now)
+	}
 	if !p.hasMoreUrgent(w) {
 		if x.reservation = s.reserve(w, candidates, now); x.reservation != nil {
 			return x, nil
@@ -252,10 +285,16 @@
 
 func clampRetryDelay(d time.Duration) time.Duration { return min(maxRetryDelay, max(minRetryDelay, d)) }
 
-func (s *Scheduler) noSlotError(w *Request) error {
+func (s *Scheduler) noSlotError(x *waiter) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w := x.request
 	p := s.pool(w.Pool)
+	if x.entry != nil && x.reservation == nil {
+		now := s.Timer.Now()
+		o, _ := s.foresee(w, x.entry.Use, s.candidates(w, now), true, now)
+		return s.noSlot(w, o, now)
+	}
 	return &NoSlotError{Pool: w.Pool, RetryAfter: clampRetryDelay(p.expectedWait(len(p.waiting)))}
 }
 
@@ -266,6 +305,10 @@
 		return false
 	}
 	p := s.pool(x.request.Pool)
+	if x.entry != nil {
+		p.fair.queue.Remove(x.entry, s.Timer.Now())
+		return true
+	}
 	if at := slices.Index(p.waiting, x); at >= 0 {
 		p.waiting = slices.Delete(p.waiting, at, at+1)
 	}
@@ -298,6 +341,7 @@
 		p.waiting = slices.Delete(p.waiting, at, at+1)
 		close(x.done)
 	}
+	s.dispatchFair(p, maxDispatchScan, now)
 }
 
 // DispatchAll dispatches the waiting requests of all pools. Call it at intervals: upstreams also
@@ -307,8 +351,9 @@
 	defer s.mu.Unlock()
 	now := s.Timer.Now()
 	for name, p := range s.pools {
-		if len(p.waiting) > 0 {
+		if p.queued() > 0 {
 			s.dispatch(name, now)
+			s.review(p, now)
 		}
 	}
 }
@@ -326,7 +371,7 @@
 func (s *Scheduler) PoolUtilization(w *Request) Utilization {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := len(s.pool(w.Pool).waiting)
+	load := s.pool(w.Pool).queued()
 	o := Utilization{}
 	for _, u := range s.candidates(w, s.Timer.Now()) {
 		load += u.running + u.otherRunning
@@ -436,6 +481,9 @@
 		u.residenceTime += time.Duration(sampleWeight * float64(now-p.reservedAt-u.residenceTime))
 	}
 	q := s.pool(p.request.Pool)
+	if o == Answered {
+		q.fair.recordHold(now - p.reservedAt)
+	}
 	if q.releasedAt > 0 {
 		q.releaseInterval += (now - q.releasedAt - q.releaseInterval) / releaseWeightInverse
 	}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -193,7 +193,7 @@
 		return cmp.Compare(a.announcement.Name, b.announcement.Name)
 	})
 	for name, p := range s.pools {
-		if len(p.waiting) > 0 {
+		if p.queued() > 0 {
 			s.dispatch(name, now)
 		}
 	}
@@ -237,6 +237,7 @@
 func (s *Scheduler) UpdateOtherLoads(loads []*schema.PoolLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateOtherQueues(loads)
 	for _, u := range s.upstreams {
 		u.otherRunning, u.otherUnreadTokens = 0, 0
 	}
@@ -299,8 +300,11 @@
 		}
 	}
 	for name, p := range s.pools {
-		if len(p.waiting) > 0 {
-			loadOf(name).Waiting = int32(len(p.waiting))
+		if n := p.queued(); n > 0 {
+			loadOf(name).Waiting = int32(n)
+		}
+		if x := p.fair.promises(s.Timer.Now()); len(x) > 0 {
+			loadOf(name).Promises = x
 		}
 	}
 	var out []*schema.PoolLoad
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -20,6 +20,9 @@
 	// MinRankShare is the fraction of the slots that a rank gets at least while it has requests: the least
 	// at which a request of it is served within a deadline of 6 s by a host with four slots per second.
 	MinRankShare = 0.05
+	// Time after a refusal for which the queue counts as contended: the age of the reports by which hosts
+	// know each other's load.
+	contendedFor = 500 * time.Millisecond
 	// Time after its last request for which a rank gains credit.
 	creditAfter = 2 * time.Second
 )
@@ -38,10 +41,12 @@
 	Weight float64
 	// Cost is the expected engine time.
 	Cost time.Duration
-	// Returned is set for a request that was refused before and returned in time. Earlier is then the
-	// start tag that it would have had.
+	// Returned is set for a request that returned to a place that was promised. Earlier is then the start
+	// tag that Reserve returned; its customer is not charged again.
 	Returned bool
 	Earlier  Tag
+	// Unpaid is set if another host promised the place, so that the customer was not charged here.
+	Unpaid bool
 }
 
 // Entry is a waiting request.
@@ -65,6 +70,10 @@
 	recent    list.List // of *customer, the longest unused first
 	ranks     map[int]*rank
 	seq       uint64
+
+	// Leads shrink only while nothing waits and nothing was refused lately: idle is the sum of that time,
+	// as of seenAt.
+	idle, seenAt, contendedUntil time.Duration
 }
 
 type customerKey struct {
@@ -78,6 +87,7 @@
 	weight  float64
 	finish  Tag
 	usedAt  time.Duration
+	idleAt  time.Duration // idle time of the queue at usedAt
 	waiting int
 }
 
@@ -87,6 +97,8 @@
 	// credit is the number of slots, at most 1, that the rank may get before more urgent ones.
 	credit float64
 	seenAt time.Duration // time of its last request
+	// reserved are the start tags of requests that are to return, sorted.
+	reserved []Tag
 }
 
 // Len returns the number of waiting requests.
@@ -110,10 +122,75 @@
 
 func (q *Queue[T]) lead(c *customer, now time.Duration) Tag {
 	lead := max(0, c.finish-q.rank(c.rank).virtual)
-	if c.waiting == 0 {
-		lead *= Tag(math.Exp(-float64(now-c.usedAt) / float64(leadTime)))
+	return lead * Tag(math.Exp(-float64(q.idleTime(now)-c.idleAt)/float64(leadTime)))
+}
+
+// idleTime returns the time in which the queue was not contended.
+func (q *Queue[T]) idleTime(now time.Duration) time.Duration {
+	if now > q.seenAt {
+		if len(q.waiting) == 0 {
+			q.idle += max(0, now-max(q.seenAt, q.contendedUntil))
+		}
+		q.seenAt = now
+	}
+	return q.idle
+}
+
+// Contended reports whether requests wait, or were refused lately.
+func (q *Queue[T]) Contended(now time.Duration) bool {
+	return len(q.waiting) > 0 || now < q.contendedUntil
+}
+
+// Refused records that a request was refused.
+func (q *Queue[T]) Refused(now time.Duration) {
+	q.idleTime(now)
+	q.contendedUntil = now + contendedFor
+}
+
+// Reserve charges a customer for a request that is to return, and returns its start tag. Unreserve must be
+// called with it once the request has returned or is not expected any more.
+func (q *Queue[T]) Reserve(u Use, now time.Duration) Tag {
+	start := q.Start(u, now)
+	if !u.Returned || u.Unpaid {
+		q.charge(u, now)
+	}
+	r := q.rank(u.Rank)
+	at, _ := slices.BinarySearch(r.reserved, start)
+	r.reserved = slices.Insert(r.reserved, at, start)
+	return start
+}
+
+// Unreserve records that a request for which Reserve was called has returned or is not expected any more.
+func (q *Queue[T]) Unreserve(rank int, start Tag) {
+	r := q.rank(rank)
+	if at, found := slices.BinarySearch(r.reserved, start); found {
+		r.reserved = slices.Delete(r.reserved, at, at+1)
+	}
+}
+
+// advance sets the virtual time of a rank as a request with a start tag is served. Requests that wait or are
+// to return hold it back: else a customer whose requests are served out of order would be charged for less.
+func (q *Queue[T]) advance(rank int, start Tag) {
+	r := q.rank(rank)
+	if len(r.reserved) > 0 {
+		start = min(start, r.reserved[0])
+	}
+	for _, late := range []bool{false, true} {
+		if e := q.first(rank, late); e != nil {
+			start = min(start, e.Start)
+		}
+	}
+	r.virtual = max(r.virtual, start)
+}
+
+// Refund takes back what a customer was charged for a request that did not return or is refused.
+func (q *Queue[T]) Refund(u Use, now time.Duration) {
+	if x := q.customers[customerKey{u.Customer, u.Rank}]; x != nil {
+		c := x.Value.(*customer)
+		r := q.rank(u.Rank)
+		c.finish = max(r.virtual, r.virtual+q.lead(c, now)-cost(u))
+		c.idleAt = q.idle
 	}
-	return lead
 }
 
 // Push adds a request and charges its customer.
@@ -121,7 +198,11 @@
 	q.seq++
 	e := &Entry[T]{Use: u, Value: value, Since: now, seq: q.seq}
 	e.Start = q.Start(u, now)
-	q.charge(u, now).waiting++
+	c := q.customer(u, now)
+	if !u.Returned || u.Unpaid {
+		q.charge(u, now)
+	}
+	c.waiting++
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compare[T])
 	q.waiting = slices.Insert(q.waiting, at, e)
 	return e
@@ -154,13 +235,15 @@
 // Serve records that a request is served without having waited.
 func (q *Queue[T]) Serve(u Use, now time.Duration) {
 	start := q.Start(u, now)
-	q.charge(u, now)
+	if !u.Returned || u.Unpaid {
+		q.charge(u, now)
+	}
 	q.served(u.Rank, now)
-	r := q.rank(u.Rank)
-	if q.waitsIn(u.Rank) {
-		r.virtual = max(r.virtual, start)
+	if q.Contended(now) {
+		q.advance(u.Rank, start)
 		return
 	}
+	r := q.rank(u.Rank)
 	r.virtual += Tag(u.Cost.Seconds() / max(r.weights, weight(u)))
 }
 
@@ -195,6 +278,32 @@
 	return 0
 }
 
+// first returns the first waiting request of a rank that is late, or in time; nil if there is none.
+func (q *Queue[T]) first(rank int, late bool) *Entry[T] {
+	at, _ := slices.BinarySearchFunc(q.waiting, rank, func(e *Entry[T], rank int) int {
+		if cmp.Or(cmp.Compare(e.Rank, rank), compareBool(e.Late, late)) < 0 {
+			return -1
+		}
+		return 1
+	})
+	if at == len(q.waiting) || q.waiting[at].Rank != rank || q.waiting[at].Late != late {
+		return nil
+	}
+	return q.waiting[at]
+}
+
+// MarkLate moves a waiting request behind those of its rank that can still meet their objectives.
+func (q *Queue[T]) MarkLate(e *Entry[T]) {
+	at, _ := slices.BinarySearchFunc(q.waiting, e, compare[T])
+	if e.Late || at == len(q.waiting) || q.waiting[at] != e {
+		return
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	e.Late = true
+	at, _ = slices.BinarySearchFunc(q.waiting, e, compare[T])
+	q.waiting = slices.Insert(q.waiting, at, e)
+}
+
 // after returns the place of the first request of a less urgent rank.
 func (q *Queue[T]) after(rank int) int {
 	at, _ := slices.BinarySearchFunc(q.waiting, rank, func(e *Entry[T], rank int) int {
@@ -209,28 +318,28 @@
 // Take removes a request that gets a slot.
 func (q *Queue[T]) Take(i int, now time.Duration) *Entry[T] {
 	e := q.waiting[i]
-	r := q.rank(e.Rank)
-	r.virtual = max(r.virtual, e.Start)
 	q.served(e.Rank, now)
 	q.drop(i, now)
+	q.advance(e.Rank, e.Start)
 	return e
 }
 
-// Remove removes a request that does not get a slot, and takes back what its customer was charged. It
-// returns false if the request does not wait.
+// Remove removes a request that does not get a slot, and takes back what its customer was charged for it; what
+// Reserve charged stays. It returns false if the request does not wait.
 func (q *Queue[T]) Remove(e *Entry[T], now time.Duration) bool {
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compare[T])
 	if at == len(q.waiting) || q.waiting[at] != e {
 		return false
 	}
-	if x := q.customers[customerKey{e.Customer, e.Rank}]; x != nil {
-		x.Value.(*customer).finish -= cost(e.Use)
-	}
 	q.drop(at, now)
+	if !e.Returned || e.Unpaid {
+		q.Refund(e.Use, now)
+	}
 	return true
 }
 
 func (q *Queue[T]) drop(i int, now time.Duration) {
+	q.idleTime(now)
 	e := q.waiting[i]
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 	if x := q.customers[customerKey{e.Customer, e.Rank}]; x != nil {
@@ -240,11 +349,6 @@
 	}
 }
 
-func (q *Queue[T]) waitsIn(rank int) bool {
-	at := q.after(rank - 1)
-	return at < len(q.waiting) && q.waiting[at].Rank == rank
-}
-
 func (q *Queue[T]) rank(n int) *rank {
 	if q.ranks == nil {
 		q.ranks = map[int]*rank{}
@@ -255,26 +359,31 @@
 	return q.ranks[n]
 }
 
-// charge advances the customer's finish tag by a request and returns the customer.
-func (q *Queue[T]) charge(u Use, now time.Duration) *customer {
-	q.forget(now)
+// customer returns the state of a request's customer.
+func (q *Queue[T]) customer(u Use, now time.Duration) *customer {
 	key := customerKey{u.Customer, u.Rank}
-	r := q.rank(u.Rank)
-	x := q.customers[key]
-	if x == nil {
-		if q.customers == nil {
-			q.customers = map[customerKey]*list.Element{}
-		}
-		x = q.recent.PushBack(&customer{customerKey: key, finish: r.virtual, usedAt: now})
-		q.customers[key] = x
+	if x := q.customers[key]; x != nil {
+		return x.Value.(*customer)
 	}
-	c := x.Value.(*customer)
+	q.forget(now)
+	if q.customers == nil {
+		q.customers = map[customerKey]*list.Element{}
+	}
+	c := &customer{customerKey: key, finish: q.rank(u.Rank).virtual, usedAt: now, idleAt: q.idleTime(now)}
+	q.customers[key] = q.recent.PushBack(c)
+	return c
+}
+
+// charge advances the customer's finish tag by a request.
+func (q *Queue[T]) charge(u Use, now time.Duration) {
+	q.forget(now)
+	c := q.customer(u, now)
+	r := q.rank(u.Rank)
 	r.weights += weight(u) - c.weight
 	c.weight = weight(u)
 	c.finish = r.virtual + q.lead(c, now) + cost(u)
-	c.usedAt = now
-	q.recent.MoveToBack(x)
-	return c
+	c.usedAt, c.idleAt = now, q.idle
+	q.recent.MoveToBack(q.customers[c.customerKey])
 }
 
 // forget removes customers that were not active lately, and makes room for one more.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -104,7 +104,8 @@
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
 	}}
-	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
+	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount,
+		Adaptive: func() bool { return e.adaptive(e.Table) }}
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
 	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log}
@@ -215,7 +216,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter})
 }
 
 // Stopping reports whether the process is shutting down.
