Refuse early callers before they are charged; keep a returning request where its place is

A caller that came before its told time was charged first, which can take a loan from a control host, and a request that returned to a promised place could be offloaded to a region that has none for it. Both are decided first now.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -121,6 +121,10 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	if err := f.claim(r); err != nil {
+		t.refuse(sink, refusalOf(err))
+		return
+	}
 	if err := f.admit(ctx, r, t); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
--- a/internal/forwarder/queue.go
+++ b/internal/forwarder/queue.go
@@ -33,7 +33,7 @@
 }
 
 // claim finds what the request may claim because it was refused before. It refuses one that comes earlier than
-// its caller was told, so that it is not relayed either.
+// its caller was told, before it is charged, so that it takes no loan of a control host and is not relayed.
 func (f *Forwarder) claim(r *Request) error {
 	if !f.adaptive() {
 		return nil
--- a/internal/forwarder/queue_test.go
+++ b/internal/forwarder/queue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -119,6 +120,37 @@
 	}
 }
 
+// TestPlacedRequestStays guards against offloading a request that returned to the place that it was promised here,
+// to a region that may have none.
+func TestPlacedRequestStays(t *testing.T) {
+	s := newSystem(t, []scriptStep{text(200, events)})
+	s.Scheduler.Adaptive = func() bool { return true }
+	s.SetRegionDigests([]*schema.RegionDigest{{Region: "idle", Routes: []*schema.ModelDigest{{Name: "p", Slots: 4000}}}})
+	asked := 0
+	s.EntryHosts = func(string) []*schema.Peer { asked++; return nil }
+	for _, placed := range []bool{true, false} {
+		asked = 0
+		for i := range 50 { // with this prefix length the other region is nearly always the preferred one
+			now := s.Timer.Now()
+			r := &Request{
+				ID: "1", Host: "h", Method: "POST", Path: "/stream/x", Body: []byte("body"), InputTokens: 9000, MaxOutputTokens: 10,
+				Parts:     []scheduler.PromptPart{{ID: fmt.Sprint("shared", i), Tokens: 8000}, {ID: "own", Tokens: 1000}},
+				ArrivedAt: now, DeadlineAt: now + 3*time.Second,
+			}
+			if err := s.identify(r); err != nil {
+				t.Fatal(err)
+			}
+			r.claim.Placed = placed
+			if err := s.serveHere(t.Context(), r, &recorderSink{}, &trace{f: s.Forwarder, r: r}, &responseState{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if offloaded := asked > 0; offloaded == placed {
+			t.Errorf("a place was promised: %v, offloaded: %d of 50", placed, asked)
+		}
+	}
+}
+
 // TestFullRegionsAreNotAsked guards against refusals that take a round trip to each full region, and against not
 // asking them for a request that was refused before.
 func TestFullRegionsAreNotAsked(t *testing.T) {
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -11,9 +11,6 @@
 // dispatch serves a request in this region, or relays it to another one if this region may
 // not serve it, has no free slot, or offloads it.
 func (f *Forwarder) dispatch(ctx context.Context, r *Request, sink Sink, t *trace) error {
-	if err := f.claim(r); err != nil {
-		return err
-	}
 	s := &responseState{}
 	err := f.serveHere(ctx, r, sink, t, s)
 	if errors.Is(err, errNotHome) && !r.mayHaveRun && ctx.Err() == nil {
@@ -28,7 +25,11 @@
 	if err := f.checkHome(r, f.Region); err != nil {
 		return err
 	}
-	if region := f.offloadRegion(r); region != "" {
+	region := ""
+	if !r.claim.Placed { // its place was promised here
+		region = f.offloadRegion(r)
+	}
+	if region != "" {
 		err := f.relay(ctx, region, r, sink, t)
 		if err == nil || r.reached > 0 || r.mayHaveRun || errors.Is(err, errTruncated) || ctx.Err() != nil {
 			return err
