--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,6 +139,10 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
+	if err := f.claim(r); err != nil {
+		t.refuse(sink, refusalOf(err))
+		return
+	}
 	if err := f.admit(ctx, r, t); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
@@ -203,7 +207,7 @@
 	if !r.mayHaveRun {
 		f.refund(r)
 	}
-	t.refuse(sink, r.finalRefusal(refusalOf(err)))
+	t.refuse(sink, f.withPromise(r, r.finalRefusal(refusalOf(err))))
 }
 
 var errTruncated = errors.New("forwarder: response truncated after its head was sent")
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -183,7 +183,8 @@
 }
 
 // nextRegion returns the least loaded one of the other regions that may serve a request and were not asked;
-// empty if there is none.
+// empty if there is none. A request that no slot was forecast for here is not passed to full regions, unless
+// it was refused before.
 func (f *Forwarder) nextRegion(r *Request, asked map[string]bool) string {
 	others := f.otherRegions(r)
 	if o := f.assignment(r.pool); o != nil && !r.relayed {
@@ -195,7 +196,7 @@
 		others = fullLast(o, others)
 	}
 	for _, x := range others {
-		if !asked[x.region] {
+		if full := r.refusedHere && !r.claim.Returned && x.load >= fullRegionLoad && f.queuesByCustomer(); !asked[x.region] && !full {
 			return x.region
 		}
 	}
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -25,13 +25,18 @@
 	if err := f.checkHome(r, f.Region); err != nil {
 		return err
 	}
-	if region := f.offloadRegion(r); region != "" {
+	region := ""
+	if !r.claim.Placed { // its place was promised here
+		region = f.offloadRegion(r)
+	}
+	if region != "" {
 		err := f.relay(ctx, region, r, sink, t)
 		if err == nil || r.reached > 0 || r.mayHaveRun || errors.Is(err, errTruncated) || ctx.Err() != nil {
 			return err
 		}
 	}
 	err := f.serveLocally(ctx, r, sink, t, s)
+	r.noteForecast(err)
 	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
 	noSlot := errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
 	if noSlot && r.reached == 0 && ctx.Err() == nil {
@@ -108,5 +113,6 @@
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
 		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
+		Customer: r.Customer(), Weight: r.customer.GetWeight(), Key: r.returnKey(), Claim: r.claim,
 	}
 }
