Standing shares: entry hosts go on within customers' limits without control hosts

Cause: entry hosts have only loans that end after 1.5 s, and a new leader lends little for 3 s, so callers within their limits got 429 after all control hosts were lost. Change: in adaptive mode the leader permits control hosts to grant a part of the limits to entry hosts as shares, by leases of 6 s that are renewed with each report. A new leader permits renewal at once and withholds what it cannot know; while it does, refusals are 503 with the time until it knows. Limits that are lowered apply at once to shares, allotments and loans. Without adaptive mode nothing changes.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -43,6 +43,8 @@
 	Now func() time.Duration
 	// Limits returns a customer's limits, and false if there is no such customer.
 	Limits func(customer string) (Limits, bool)
+	// Adaptive reports whether a part of the allotments may be granted as standing shares. Nil: none may.
+	Adaptive func() bool
 
 	mu          sync.Mutex
 	startedAt   time.Duration                     // when this host became the leader; guarded by mu
@@ -52,19 +54,48 @@
 	demandRates map[string]map[string]float64     // customer → host → tokens per second that callers ask for; guarded by mu
 	// reserves hold the tokens for loans, by customer; guarded by mu
 	reserves map[string]*reserve
+	// standing is what control hosts reported that entry hosts may be using: customer → host → reports; guarded by mu
+	standing map[string]map[string][]lease
+	// sharesSeen is set if a control host reported standing shares since Start; guarded by mu
+	sharesSeen bool
+	stats      AllocatorStats // guarded by mu
+}
+
+// AllocatorStats are counters of the leader.
+type AllocatorStats struct {
+	// Unusable counts reported figures that could not be right; UnusableField names the last of them, UnusableHost
+	// the host that reported it.
+	Unusable                    uint64
+	UnusableField, UnusableHost string
+}
+
+// Stats returns the counters.
+func (a *Allocator) Stats() AllocatorStats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stats
 }
 
 // host is an entry host that reports. reportedAt is the time of its last report.
 type host struct {
 	incarnation uint64
+	number      uint64 // of its last report
 	reportedAt  time.Duration
+	// sizes are the average sizes of a request, usableRates what entry hosts could use as standing shares, by customer;
+	// only in adaptive mode.
+	sizes, usableRates map[string]float64
 }
 
-// allotment is a part of one customer's rate, in tokens per second, that a host may be using.
+// allotment is a part of one customer's limits that a host may be using.
 type allotment struct {
 	number uint64
-	rate   float64
-	until  time.Duration // on the leader's clock
+	part
+	until time.Duration // on the leader's clock
+	// standing is the part that entry hosts may be using until standingUntil. limit is the rate of the limits that both
+	// parts were taken from, 0 if they are not reduced with them.
+	standing      part
+	standingUntil time.Duration
+	limit         float64
 }
 
 // Start discards all state: this host has just become the leader in a term. Allotments are
@@ -77,24 +108,33 @@
 	a.allotments = map[string]map[string][]allotment{}
 	a.demandRates = map[string]map[string]float64{}
 	a.reserves = map[string]*reserve{}
+	a.standing = map[string]map[string][]lease{}
+	a.sharesSeen = false
 	a.lastNumber = term << termShift
 }
 
 // Allot takes a host's report and returns its allotment of the customers that it reports.
-// It returns nil if this host does not lead, or has led for less than StartDelay.
+// It returns nil if this host does not lead. If it has led for less than StartDelay, it returns an allotment that
+// renews standing shares, and nil if the host reports none.
 func (a *Allocator) Allot(p *schema.Peer) *schema.Allotment {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
 	a.recordReport(p, now)
-	if a.hosts == nil || now-a.startedAt < StartDelay {
+	if a.hosts == nil {
 		return nil
 	}
+	if now-a.startedAt < StartDelay {
+		return a.renewStanding(p, now)
+	}
 	a.lastNumber++
 	out := &schema.Allotment{
 		Host: p.Name, Incarnation: p.Incarnation, Number: a.lastNumber, Lease: int64(LeaseDuration), Hosts: int32(len(a.hosts)),
 	}
 	for _, d := range p.Demands {
+		if field, _ := unusableDemand(d, true); field != "" {
+			continue
+		}
 		if share := a.allotCustomer(p.Name, d.Customer, now); share != nil {
 			out.Shares = append(out.Shares, share)
 		}
@@ -113,7 +153,9 @@
 		h = &host{}
 		a.hosts[p.Name] = h
 	}
-	h.incarnation, h.reportedAt = p.Incarnation, now
+	inOrder := p.Incarnation == h.incarnation && p.Number > h.number
+	h.incarnation, h.number, h.reportedAt = p.Incarnation, p.Number, now
+	h.sizes, h.usableRates = map[string]float64{}, map[string]float64{}
 	for name, other := range a.hosts {
 		if now-other.reportedAt > hostTimeout {
 			delete(a.hosts, name)
@@ -124,13 +166,25 @@
 		delete(rates, p.Name)
 	}
 	for _, d := range p.Demands {
+		if field, _ := unusableDemand(d, true); field != "" {
+			a.recordUnusable(p.Name, "demands."+field)
+			continue
+		}
+		if d.Size > 0 {
+			h.sizes[d.Customer] = d.Size
+		}
 		if a.demandRates[d.Customer] == nil {
 			a.demandRates[d.Customer] = map[string]float64{}
 		}
 		a.demandRates[d.Customer][p.Name] = d.Rate
 	}
+	a.recordStanding(p, inOrder && p.Allotment > 0, now)
+	inUse := p.Allotment
+	if !inOrder && (len(p.Standing) > 0 || a.adaptive()) {
+		inUse = 0 // the host may hold what a later report, already taken, does not name
+	}
 	for customer, hosts := range a.allotments {
-		hosts[p.Name] = activeAllotments(hosts[p.Name], p.Allotment, now)
+		hosts[p.Name] = activeAllotments(hosts[p.Name], inUse, now)
 		if len(hosts[p.Name]) == 0 {
 			delete(hosts, p.Name)
 		}
@@ -151,7 +205,7 @@
 func activeAllotments(allotments []allotment, numberInUse uint64, now time.Duration) []allotment {
 	var kept []allotment
 	for _, x := range allotments {
-		if x.until > now && x.number >= numberInUse {
+		if (x.until > now || x.standing.rate > 0 && x.standingUntil > now) && x.number >= numberInUse {
 			kept = append(kept, x)
 		}
 	}
@@ -165,18 +219,26 @@
 	if !known || limits.Rate <= 0 {
 		return nil
 	}
+	if a.adaptive() {
+		return a.allotAdaptive(name, customer, limits, now)
+	}
 	dividedFraction := 1 - a.reserveFraction(customer, limits)
 	if dividedFraction <= 0 {
 		return nil // all of it is kept for loans, and the host spends its floor
 	}
-	othersRate := a.allottedRate(customer, name, now)
+	othersRate := a.allotted(customer, name, limits, now).rate + a.withheld(customer, limits, now).rate
 	dividedRate := limits.Rate * (1 - a.unallottedFraction(name, customer, now)) * dividedFraction
 	rate := math.Max(0, math.Min(dividedRate*a.demandFraction(name, customer), dividedRate-othersRate))
+	share := &schema.Share{Customer: customer, Rate: rate, Burst: limits.Burst * rate / limits.Rate}
+	a.recordAllotment(name, customer, allotment{number: a.lastNumber, part: part{rate, share.Burst}, until: now + LeaseDuration})
+	return share
+}
+
+func (a *Allocator) recordAllotment(name, customer string, x allotment) {
 	if a.allotments[customer] == nil {
 		a.allotments[customer] = map[string][]allotment{}
 	}
-	a.allotments[customer][name] = append(a.allotments[customer][name], allotment{number: a.lastNumber, rate: rate, until: now + LeaseDuration})
-	return &schema.Share{Customer: customer, Rate: rate, Burst: limits.Burst * rate / limits.Rate}
+	a.allotments[customer][name] = append(a.allotments[customer][name], x)
 }
 
 // unallottedFraction returns the fraction of the rate that the hosts without an allotment,
@@ -206,12 +268,24 @@
 	return evenFraction*equalFraction + (1-evenFraction)*a.demandRates[customer][name]/sum
 }
 
-// allottedRate returns the tokens per second that hosts other than except may be using.
-func (a *Allocator) allottedRate(customer, except string, now time.Duration) float64 {
-	sum := 0.0
+// allotted returns what hosts other than except, and the entry hosts that report to them, may be using.
+func (a *Allocator) allotted(customer, except string, limits Limits, now time.Duration) part {
+	var sum part
 	for host, allotments := range a.allotments[customer] {
-		if host != except {
-			sum += highestRate(allotments, now)
+		if host == except {
+			continue
+		}
+		p := a.standingPart(customer, host, limits, now)
+		for _, x := range allotments {
+			if x.until > now {
+				p = p.larger(x.reduced(x.limit, limits))
+			}
+		}
+		sum = sum.plus(p)
+	}
+	for host := range a.standing[customer] {
+		if host != except && a.allotments[customer][host] == nil {
+			sum = sum.plus(a.standingPart(customer, host, limits, now))
 		}
 	}
 	return sum
--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -35,6 +35,8 @@
 	// MissingTokens is the number of tokens to borrow, DemandRate the customer's average demand at
 	// this host in tokens per second.
 	MissingTokens, DemandRate float64
+	// Starting means that the leader cannot know yet whether the customer is over its rate.
+	Starting bool
 }
 
 // Error returns the customer and the time to wait.
@@ -45,6 +47,20 @@
 // Unwrap returns ErrOverRate.
 func (e *OverRateError) Unwrap() error { return ErrOverRate }
 
+// ErrStarting says that the leader cannot know yet what is in use of a customer's limits.
+var ErrStarting = errors.New("allocator: what is in use of the customer's limits is not known yet")
+
+// StartingError is an ErrStarting with the time after which the leader is expected to know.
+type StartingError struct{ RetryAfter time.Duration }
+
+// Error returns the time to wait.
+func (e *StartingError) Error() string {
+	return fmt.Sprintf("%v; retry in %v", ErrStarting, e.RetryAfter)
+}
+
+// Unwrap returns ErrStarting.
+func (e *StartingError) Unwrap() error { return ErrStarting }
+
 // Bucket holds one host's allotments and loans, for all customers. Set the exported fields
 // before use.
 type Bucket struct {
@@ -55,13 +71,18 @@
 	// SlackTokens is the number of tokens by which the bursts of all hosts together may exceed a
 	// customer's, so that a small allotment still holds a whole request.
 	SlackTokens float64
-	// LoansOnly is set on hosts that have no allotments and spend only what a Lender lends them.
+	// LoansOnly is set on hosts that have no allotments and spend only what a Lender lends them and a Granter
+	// grants them.
 	LoansOnly bool
+	// Adaptive reports whether standing shares are in use. Nil: they are not.
+	Adaptive func() bool
 
 	mu              sync.Mutex
 	hostCount       int                 // of the newest allotment, 0 before the first; guarded by mu
 	allotmentNumber uint64              // of the newest allotment in use; guarded by mu
 	customers       map[string]*account // by name; guarded by mu
+	reportedAt      time.Duration       // time of the last call of Report; guarded by mu
+	shareStats      ShareStats          // counters only; guarded by mu
 }
 
 // account is the state of one customer at this host. Times are on the host's clock, amounts
@@ -82,16 +103,27 @@
 	// spent; only a Lender's Bucket uses them.
 	lentAhead   float64
 	lentAheadAt time.Duration
-	// noLoanUntil is when the leader will have tokens to lend again.
-	noLoanUntil time.Duration
-	// rate and burst are this host's allotment, valid until allottedUntil.
-	rate, burst   float64
-	allottedUntil time.Duration
+	// noLoanUntil is when the leader will have tokens to lend again. Until startingUntil the reason is that it cannot
+	// know yet what is in use.
+	noLoanUntil, startingUntil time.Duration
+	// rate and burst are this host's allotment, or its standing share if LoansOnly is set, valid until allottedUntil.
+	// limitRate is the rate of the limits that they are a part of; 0: not stated. lastRate is that of the last request.
+	rate, burst         float64
+	limitRate, lastRate float64
+	allottedUntil       time.Duration
+	// grantable may be granted as standing shares until grantableUntil, for grantDuration each; grantableLimit is the
+	// rate of the limits that it is a part of. granted is what may be in use of those granted.
+	grantable                     part
+	grantableLimit                float64
+	grantableUntil, grantDuration time.Duration
+	granted                       part
 	// demandTokens were asked for since averagedAt, the time of the last report; demandRate is
 	// their moving average.
 	demandTokens float64
 	demandRate   float64
 	averagedAt   time.Duration
+	// averageSize is the moving average of the tokens of a request.
+	averageSize float64
 	// usedAt is the time of the last request, or of the last report that expected some.
 	usedAt time.Duration
 }
@@ -110,6 +142,10 @@
 	a := b.account(customer, limits, now)
 	a.demandTokens += tokens
 	a.usedAt = now
+	if a.averageSize == 0 {
+		a.averageSize = tokens
+	}
+	a.averageSize += sizeWeight * (tokens - a.averageSize)
 	return a.level, b.spend(customer, a, tokens, now)
 }
 
@@ -117,6 +153,9 @@
 func (b *Bucket) spend(customer string, a *account, tokens float64, now time.Duration) error {
 	if a.level+b.SlackTokens*debtFraction/b.sharingHosts() >= tokens {
 		a.level -= tokens
+		if b.LoansOnly {
+			b.shareStats.SpentTokens += tokens
+		}
 		return nil
 	}
 	if now >= a.borrowedUntil {
@@ -126,7 +165,10 @@
 		a.borrowed -= tokens
 		return nil
 	}
-	return &OverRateError{Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - a.borrowed, DemandRate: a.demandRate}
+	return &OverRateError{
+		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - a.borrowed, DemandRate: a.demandRate,
+		Starting: now < a.startingUntil,
+	}
 }
 
 // RetryTake charges a request again that Take counted as demand but refused, after more tokens
@@ -159,11 +201,16 @@
 	if now < a.borrowedUntil {
 		available = max(available, a.borrowed)
 	}
-	if a.borrowingAhead || now < a.noLoanUntil || now < a.noAheadUntil || available >= tokens || a.demandRate*loanDuration.Seconds() < tokens {
+	lacking := a.demandRate
+	if b.LoansOnly {
+		share, _ := b.hostLimits(a, limits, now)
+		lacking -= share
+	}
+	if a.borrowingAhead || now < a.noLoanUntil || now < a.noAheadUntil || available >= tokens || lacking*loanDuration.Seconds() < tokens {
 		return 0
 	}
 	a.borrowingAhead = true
-	return max(tokens, a.demandRate*BorrowAheadDuration.Seconds())
+	return max(tokens, lacking*BorrowAheadDuration.Seconds())
 }
 
 // RecordLoan records the leader's answer to a request for a loan: the tokens lent or, if there are
@@ -177,7 +224,7 @@
 	}
 	now := b.Now()
 	if tokens <= 0 {
-		a.noLoanUntil = now + retry
+		a.noLoanUntil, a.startingUntil = now+retry, 0
 		return
 	}
 	a.addLoan(tokens, now)
@@ -240,6 +287,8 @@
 	a := b.customers[customer]
 	switch {
 	case a == nil:
+	case b.LoansOnly && a.level+tokens <= a.burst && b.Now() < a.allottedUntil:
+		a.level += tokens // the loan that paid for it would end sooner
 	case b.LoansOnly:
 		a.borrowed += tokens
 	default:
@@ -257,15 +306,26 @@
 	}
 	now := b.Now()
 	b.allotmentNumber = allotment.Number
-	b.hostCount = int(allotment.Hosts)
+	renewsOnly := allotment.Hosts == 0
+	if !renewsOnly {
+		b.hostCount = int(allotment.Hosts)
+	}
 	until := requestedAt + time.Duration(allotment.Lease)
 	for _, s := range allotment.Shares {
 		limits, known := b.Limits(s.Customer)
 		if !known {
 			continue
 		}
+		if field, _ := unusableField(s, known, StandingDuration); field != "" {
+			b.shareStats.Unusable++
+			continue
+		}
 		a := b.account(s.Customer, limits, now)
-		a.rate, a.burst, a.allottedUntil = s.Rate, s.Burst, until
+		if !renewsOnly {
+			a.rate, a.burst, a.limitRate, a.allottedUntil = s.Rate, s.Burst, s.Limit, until
+		}
+		a.grantable, a.grantableLimit = part{s.Standing, s.StandingBurst}, s.Limit
+		a.grantableUntil, a.grantDuration = until, timer.Seconds(s.Left)
 	}
 }
 
@@ -281,17 +341,24 @@
 			b.account(name, limits, now).usedAt = now
 		}
 	}
+	b.countExpired(now)
+	b.reportedAt = now
+	adaptive := b.adaptive()
 	var demands []*schema.Demand
 	for name, a := range b.customers {
 		if d := (now - a.averagedAt).Seconds(); d > 0 {
 			a.demandRate += demandWeight * (a.demandTokens/d - a.demandRate)
 			a.demandTokens, a.averagedAt = 0, now
 		}
-		if now-a.usedAt > idleTimeout && now > a.allottedUntil {
+		if now-a.usedAt > idleTimeout && now > a.allottedUntil && a.granted.rate == 0 {
 			delete(b.customers, name)
 			continue
 		}
-		demands = append(demands, &schema.Demand{Customer: name, Rate: a.demandRate})
+		d := &schema.Demand{Customer: name, Rate: a.demandRate}
+		if adaptive {
+			d.Size = a.averageSize
+		}
+		demands = append(demands, d)
 	}
 	return demands, b.allotmentNumber
 }
@@ -305,14 +372,25 @@
 	a := b.customers[customer]
 	if a == nil {
 		a = &account{filledAt: now, averagedAt: now, usedAt: now}
+		if now-b.reportedAt < idleTimeout && b.adaptive() {
+			// One request in the last milliseconds before a report is not the demand of a busy host.
+			a.averagedAt = b.reportedAt
+		}
 		_, a.level = b.hostLimits(a, limits, now)
+		a.lastRate = limits.Rate
 		b.customers[customer] = a
 		return a
 	}
 	a.fill(b, limits, now)
+	if a.lastRate > limits.Rate && b.adaptive() {
+		a.borrowed *= limits.Rate / a.lastRate
+	}
+	a.lastRate = limits.Rate
 	return a
 }
 
+func (b *Bucket) adaptive() bool { return b.Adaptive != nil && b.Adaptive() }
+
 // fill adds the tokens since filledAt, at the limits that were in force.
 func (a *account) fill(b *Bucket, limits Limits, now time.Duration) {
 	allotmentEnd := min(max(a.filledAt, a.allottedUntil), now)
@@ -335,12 +413,16 @@
 // while that is valid, else an equal share of the floor.
 func (b *Bucket) hostLimits(a *account, limits Limits, at time.Duration) (rate, burst float64) {
 	if b.LoansOnly {
+		if at < a.allottedUntil {
+			return a.reducedShare(limits)
+		}
 		return 0, 0
 	}
 	hosts := b.sharingHosts()
 	rate, burst = limits.Rate*floorFraction/hosts, limits.Burst*floorFraction/hosts
 	if at < a.allottedUntil {
-		rate, burst = a.rate, a.burst
+		rate, burst = a.reducedShare(limits)
+		rate, burst = math.Max(0, rate-a.granted.rate), math.Max(0, burst-a.granted.burst)
 	}
 	return rate, math.Max(burst, math.Min(limits.Burst, b.SlackTokens*minBurstFraction/hosts))
 }
--- a/internal/allocator/lender.go
+++ b/internal/allocator/lender.go
@@ -22,7 +22,8 @@
 type Lender struct {
 	Bucket *Bucket
 	// Draw requests tokens for the Bucket from the leader's reserve: at least minTokens, maxTokens
-	// if it can. If the leader lends none, it returns the time until minTokens would be available.
+	// if it can. If the leader lends none, it returns the time until minTokens would be available. If the leader
+	// cannot know yet whether it may lend, it returns a StartingError.
 	Draw func(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error)
 	// Background runs a function that requests tokens ahead of need. Nil: in a goroutine.
 	Background func(func())
@@ -31,7 +32,8 @@
 // Lend lends at least minTokens of a customer's tokens, at most maxTokens. With minTokens 0 the
 // tokens are for requests to come. If it lends none to a request in need, retry is the time after
 // which it may. It lends all of maxTokens to a customer without a limit, and none to an unknown
-// one. An error means that the leader did not answer; then no tokens were lent.
+// one. An error means that no tokens were lent as the leader did not answer or, if it wraps ErrStarting, as it cannot
+// know yet whether there are any.
 func (l *Lender) Lend(ctx context.Context, customer string, minTokens, maxTokens float64) (tokens float64, retry time.Duration, err error) {
 	limits, known := l.Bucket.Limits(customer)
 	switch {
@@ -69,13 +71,20 @@
 	if !errors.As(err, &over) {
 		return 0, err
 	}
-	if over.RetryAfter > 0 {
+	switch {
+	case over.Starting:
+		return 0, &StartingError{RetryAfter: over.RetryAfter}
+	case over.RetryAfter > 0:
 		return over.RetryAfter, nil
 	}
 	// The tokens of a reply that comes after the borrower has given up are for the next one.
 	drawCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
 	defer cancel()
 	lent, retry, err := l.Draw(drawCtx, customer, over.MissingTokens, over.MissingTokens+over.DemandRate*BorrowAheadDuration.Seconds())
+	var starting *StartingError
+	if errors.As(err, &starting) {
+		l.Bucket.RecordStarting(customer, max(starting.RetryAfter, minDrawInterval))
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -78,13 +78,19 @@
 // in tokens per second, and its maximum level. What hosts may still be using of the rate does
 // not flow into it.
 func (a *Allocator) fillReserve(customer string, limits Limits, now time.Duration) (r *reserve, rate, maxLevel float64) {
-	freeFraction := 1 - a.unallottedFraction("", customer, now) - a.allottedRate(customer, "", now)/limits.Rate
+	inUse := a.allotted(customer, "", limits, now).plus(a.withheld(customer, limits, now))
+	freeFraction := 1 - a.unallottedFraction("", customer, now) - inUse.rate/limits.Rate
+	freeBurst := freeFraction
+	if limits.Burst > 0 && (a.sharesSeen || a.adaptive()) {
+		freeBurst = 1 - a.unallottedFraction("", customer, now) - inUse.burst/limits.Burst
+	}
 	if now-a.startedAt < StartDelay {
 		// Allotments of the earlier leader may be in use: only what is never divided is free.
 		freeFraction = minReserveFraction * (1 - floorFraction)
+		freeBurst = freeFraction
 	}
 	rate = limits.Rate * math.Max(0, freeFraction)
-	maxLevel = limits.Burst * math.Max(0, freeFraction)
+	maxLevel = limits.Burst * math.Max(0, freeBurst)
 	r = a.reserves[customer]
 	if r == nil {
 		// An earlier leader may have lent all of the burst just before.
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -66,6 +66,8 @@
 	Allocator *allocator.Allocator
 	// Bucket holds this host's part of customers' limits, out of which it lends to entry hosts.
 	Bucket *allocator.Bucket
+	// Granter grants standing shares to the entry hosts that report here. Nil: they get none.
+	Granter *allocator.Granter
 	// Evidence and Quarantine hold what hosts found of requests and parts of prompts that crash
 	// upstreams.
 	Evidence   *quarantiner.Evidence
@@ -74,6 +76,7 @@
 	Streams *resumer.Index
 
 	lender     *allocator.Lender
+	shares     shareLog
 	contacts   contacts
 	c          *Controller
 	consultNow chan struct{} // ends the wait before the next Consult call
@@ -280,7 +283,7 @@
 	switch {
 	case v.holdsLease(now):
 		if report := k.demandReport(); report != nil {
-			k.Bucket.ApplyAllotment(k.Allocator.Allot(report), now)
+			k.Bucket.ApplyAllotment(k.allot(report), now)
 		}
 	case v.role != leaderRole && v.leaderAddress() != "":
 		k.consult(ctx, v.leaderAddress())
@@ -341,6 +344,9 @@
 	k.demandReports++
 	p := &schema.Peer{Name: k.Self.Address, Incarnation: k.Self.Id, Number: k.demandReports}
 	p.Demands, p.Allotment = k.Bucket.Report(k.expectedCustomers())
+	if k.Granter != nil {
+		k.Granter.Fill(p)
+	}
 	return p
 }
 
@@ -358,12 +364,12 @@
 }
 
 // draw requests tokens of a customer from the leader's reserve, for the Lender. It returns
-// ErrNotReady if no leader is known or the one that is does not lead.
+// ErrNotReady if no leader is known or the one that is does not lead, and a StartingError if the leader cannot
+// know yet what is in use.
 func (k *Cluster) draw(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
 	v := k.c.view.Load()
 	if v.holdsLease(k.c.Timer.Now()) {
-		tokens, retry := k.Allocator.Lend(customer, minTokens, maxTokens)
-		return tokens, retry, nil
+		return k.Allocator.LendOrLearn(customer, minTokens, maxTokens)
 	}
 	address := v.leaderAddress()
 	if address == "" || v.role == leaderRole {
@@ -377,8 +383,11 @@
 	if err != nil {
 		return 0, 0, errors.Join(ErrNotReady, err)
 	}
-	if !reply.Leader {
+	switch {
+	case !reply.Leader:
 		return 0, 0, ErrNotReady
+	case reply.Starting:
+		return 0, 0, &allocator.StartingError{RetryAfter: timer.Seconds(reply.Retry)}
 	}
 	return reply.Tokens, timer.Seconds(reply.Retry), nil
 }
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/cataloger"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/replicator"
@@ -71,7 +73,7 @@
 	k.storeBreakages(r.Breakages, r.Address)
 	k.Table.StoreLoads(r.Address, r.Loads)
 	if r.Lender != nil {
-		reply.Allotment = k.Allocator.Allot(r.Lender)
+		reply.Allotment = k.allot(r.Lender)
 	}
 	changes := k.Table.ChangesSince(r.Cursor, r.Process, "")
 	reply.Upstreams, reply.Peers = changes.Upstreams, changes.Hosts
@@ -96,6 +98,10 @@
 // Borrow lends tokens of a customer to an entry host.
 func (s *ClusterService) Borrow(ctx context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
 	tokens, retry, err := s.Cluster.lender.Lend(ctx, r.Customer, r.Need, r.Wish)
+	var starting *allocator.StartingError
+	if errors.As(err, &starting) {
+		return &schema.BorrowReply{Leader: true, Retry: starting.RetryAfter.Seconds(), Starting: true}, nil
+	}
 	if err != nil {
 		s.Cluster.c.Log.Warn().Err(err).Str("customer", r.Customer).Float64("need", r.Need).Msg("no tokens from the leader")
 		return &schema.BorrowReply{}, nil
@@ -109,7 +115,11 @@
 	if !k.c.view.Load().holdsLease(k.c.Timer.Now()) {
 		return &schema.BorrowReply{}, nil
 	}
-	tokens, retry := k.Allocator.Lend(r.Customer, r.Need, r.Wish)
+	tokens, retry, err := k.Allocator.LendOrLearn(r.Customer, r.Need, r.Wish)
+	var starting *allocator.StartingError
+	if errors.As(err, &starting) {
+		return &schema.BorrowReply{Leader: true, Retry: starting.RetryAfter.Seconds(), Starting: true}, nil
+	}
 	return &schema.BorrowReply{Leader: true, Tokens: tokens, Retry: retry.Seconds()}, nil
 }
 
@@ -121,6 +131,7 @@
 	if r.Self == nil || r.Self.Name == "" {
 		return nil, status.Error(codes.InvalidArgument, "a host needs a name")
 	}
+	shares := k.grantShares(r.Self)
 	if k.Table.StoreHost(r.Self, "") {
 		k.c.Log.Info().Str("peer", r.Self.Name).Uint64("incarnation", r.Self.Incarnation).Uint64("number", r.Self.Number).
 			Bool("ready", r.Self.Ready).Msg("entry host changed")
@@ -129,7 +140,7 @@
 	k.storeLimits(r)
 	k.storeLeavers(r.Leavers, r.Self.Name)
 	k.storeBreakages(r.Breakages, r.Self.Name)
-	reply := &schema.RefreshReply{Age: -1}
+	reply := &schema.RefreshReply{Age: -1, Standing: shares}
 	if confirmedAt := k.lastConfirmedAt(); confirmedAt > 0 {
 		reply.Age = int64(k.c.Timer.Now() - confirmedAt)
 	}
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -67,7 +67,7 @@
 func (f *Forwarder) borrow(ctx context.Context, r *Request, over *allocator.OverRateError, waitUntil time.Duration) error {
 	remaining := waitUntil - f.Timer.Now()
 	if over.RetryAfter > remaining || remaining <= 0 {
-		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval)}
+		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval), Starting: over.Starting}
 	}
 	if over.RetryAfter > 0 {
 		return f.Timer.Sleep(ctx, max(over.RetryAfter, minBorrowInterval))
@@ -76,6 +76,11 @@
 	defer cancel()
 	maxTokens := over.MissingTokens + over.DemandRate*allocator.BorrowAheadDuration.Seconds()
 	tokens, retry, err := f.Borrow(ctx, over.Customer, over.MissingTokens, maxTokens)
+	var starting *allocator.StartingError
+	if errors.As(err, &starting) {
+		f.Bucket.RecordStarting(over.Customer, max(starting.RetryAfter, minBorrowInterval))
+		return nil
+	}
 	if err != nil {
 		return &Refusal{Status: http.StatusServiceUnavailable, Cause: causeNoLender, RetryAfter: staleRetryDelay, Err: err}
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -78,6 +78,8 @@
 	switch {
 	case errors.As(err, &r):
 		return r
+	case errors.As(err, &over) && over.Starting:
+		return refuse(http.StatusServiceUnavailable, causeNoLender, over.RetryAfter)
 	case errors.As(err, &over):
 		return refuse(http.StatusTooManyRequests, causeOverRate, over.RetryAfter)
 	case errors.As(err, &full):
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -64,6 +64,9 @@
 	// IsBusy reports whether this host handles so many requests that other hosts need its load
 	// more often. Nil: never.
 	IsBusy func() bool
+	// Adaptive reports whether the rates at which callers ask for tokens are reported, in reply to which standing shares
+	// are granted. Nil: they are not.
+	Adaptive func() bool
 	// OnLoads is called after each reply with the load of the region's other hosts and the
 	// digests of other regions, once the table is updated. Nil: not called.
 	OnLoads func(loads []*schema.PoolLoad, digests []*schema.RegionDigest)
@@ -85,6 +88,7 @@
 	failedAt       map[string]time.Duration // time of the last failure, by address, on Timer's clock
 	controlLost    bool
 	reportedReady  bool // Ready of the last report
+	unusableLog    logLimit
 }
 
 // Run sends reports and applies the replies until ctx ends. It always returns nil.
@@ -200,7 +204,11 @@
 	r.reportNumber++
 	r.reportedReady = self.Ready
 	self.Number = r.reportNumber
-	r.Bucket.Report(nil) // updates the averages of demand, by which the Bucket borrows ahead
+	demands, _ := r.Bucket.Report(nil) // also updates the averages of demand, by which the Bucket borrows ahead
+	self.Standing = r.Bucket.Standing()
+	if r.Adaptive != nil && r.Adaptive() {
+		self.Demands = allocator.LargestDemands(demands)
+	}
 	current := r.Distributor.Current()
 	request := &schema.RefreshRequest{Self: self, Version: current.Version, Hash: current.Hash, Cursor: r.cursor, Process: r.cursorProcess, Packs: true}
 	if r.OwnLimits != nil {
@@ -283,6 +291,7 @@
 			return err
 		}
 	}
+	r.applyStanding(reply.Standing, sentAt)
 	transit := r.Timer.Now() - sentAt
 	for _, a := range reply.Upstreams {
 		cataloger.AddDelay(a, transit)
@@ -323,6 +332,33 @@
 	return nil
 }
 
+// applyStanding applies the standing shares of a reply, and logs when shares begin and end.
+func (r *Refresher) applyStanding(shares []*schema.Share, sentAt time.Duration) {
+	c := r.Bucket.ApplyStanding(shares, sentAt)
+	if c.UnusableField != "" && r.unusableLog.allows(r.Timer.Now()) {
+		r.Log.Warn().Str("field", c.UnusableField).Float64("value", c.UnusableValue).Str("control", r.controlAddress).Msg("standing share cannot be used")
+	}
+	if c.Granted > 0 || c.Expired > 0 {
+		s := r.Bucket.Stats()
+		r.Log.Info().Int("granted", c.Granted).Int("renewed", c.Renewed).Int("expired", c.Expired).Int("held", s.Held).
+			Float64("spent", s.SpentTokens).Dur("transit", r.Timer.Now()-sentAt).Str("control", r.controlAddress).Msg("standing shares changed")
+	}
+}
+
+// unusableLogInterval bounds the log lines on figures that cannot be used.
+const unusableLogInterval = time.Second
+
+// logLimit lets one line pass in an interval.
+type logLimit struct{ nextAt time.Duration }
+
+func (l *logLimit) allows(now time.Duration) bool {
+	if now < l.nextAt {
+		return false
+	}
+	l.nextAt = now + unusableLogInterval
+	return true
+}
+
 // ErrNoLender says that no control host could decide on a loan.
 var ErrNoLender = errors.New("refresher: no control host could lend tokens")
 
@@ -334,7 +370,7 @@
 // Borrow asks a control host for a loan of a customer's tokens: at least minTokens, at most
 // maxTokens. It returns the tokens lent; if the customer is over its rate, 0 and the time until
 // minTokens would be available. An error that wraps ErrNoLender says that no control host could
-// decide. Tokens of a reply that is lost are lost to the customer.
+// decide, one that wraps allocator.ErrStarting that the leader cannot know yet what is in use. Tokens of a reply that is lost are lost to the customer.
 func (r *Refresher) Borrow(ctx context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
 	addresses := r.nearestControls()
 	if len(addresses) == 0 {
@@ -350,8 +386,11 @@
 	if err != nil {
 		return 0, 0, errors.Join(ErrNoLender, err)
 	}
-	if !reply.Leader {
+	switch {
+	case !reply.Leader:
 		return 0, 0, ErrNoLender
+	case reply.Starting:
+		return 0, 0, &allocator.StartingError{RetryAfter: timer.Seconds(reply.Retry)}
 	}
 	return reply.Tokens, timer.Seconds(reply.Retry), nil
 }
--- a/internal/starter/control.go
+++ b/internal/starter/control.go
@@ -44,12 +44,13 @@
 
 	controller *controller.Controller
 	unusable   *unusableReports
+	shares     []prometheus.Collector
 }
 
 // Collectors returns the process's metrics, to be added to a registry. It must be called by Listeners or
 // later.
 func (c *Control) Collectors() []prometheus.Collector {
-	return slices.Concat(c.controller.Collectors(), BufferCollectors("requests", c.Requests), []prometheus.Collector{c.unusable.counter})
+	return slices.Concat(c.controller.Collectors(), BufferCollectors("requests", c.Requests), c.shares, []prometheus.Collector{c.unusable.counter})
 }
 
 // Run serves until ctx ends or a component fails.
@@ -87,12 +88,16 @@
 	limits := func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(c.controller.Distributor.Current(), customer)
 	}
+	adaptive := func() bool { return c.adaptive(table) }
+	bucket := &allocator.Bucket{Now: clock.Now, Limits: limits, SlackTokens: c.SlackTokens, Adaptive: adaptive}
+	divider := &allocator.Allocator{Now: clock.Now, Limits: limits, Adaptive: adaptive}
+	granter := &allocator.Granter{Now: clock.Now, Limits: limits, Adaptive: adaptive, Bucket: bucket}
+	c.shares = grantCollectors(granter, divider)
 	return &controller.Cluster{
 		Self:       &schema.Member{Name: s.Name, Address: s.Internal, Region: s.Region, Domain: s.Domain},
 		FirstStart: c.FirstStart, MinVoters: 2*c.MaxLostDisks + 1, SeedAddresses: c.Seeds, Table: table,
-		Allocator: &allocator.Allocator{Now: clock.Now, Limits: limits},
-		Bucket:    &allocator.Bucket{Now: clock.Now, Limits: limits, SlackTokens: c.SlackTokens},
-		Evidence:  &quarantiner.Evidence{Now: clock.Now}, Quarantine: &quarantiner.Register{Now: clock.Now},
+		Allocator: divider, Bucket: bucket, Granter: granter,
+		Evidence: &quarantiner.Evidence{Now: clock.Now}, Quarantine: &quarantiner.Register{Now: clock.Now},
 		Streams: &resumer.Index{Now: clock.Now, Process: rand.Uint64() | 1, MaxStreams: maxControlStreams},
 	}
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -103,7 +103,7 @@
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
-	}}
+	}, Adaptive: func() bool { return e.adaptive(e.Table) }}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
@@ -119,6 +119,7 @@
 		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits, OwnLeavers: e.scheduler.OwnLeavers,
 		OwnBreakages: e.scheduler.OwnBreakages,
 		Streams:      &resumer.Sender{Index: streams},
+		Adaptive:     func() bool { return e.adaptive(e.Table) },
 		IsBusy:       func() bool { return e.Forwarder.Inflight() >= minBusyRequests },
 	}
 	e.refresher.Init()
@@ -215,7 +216,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), shareCollectors(e.bucket), []prometheus.Collector{e.unusable.counter, e.lists.counter})
 }
 
 // Stopping reports whether the process is shutting down.
