Check at every moment that what hosts may use is within the limits

The windows of 8 s with their tolerance leave room for errors of some tens of percent. The simulation now also sums the shares, allotments and reserve that hosts may use at each moment, by their own clocks. The deduction now follows the limits.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -112,11 +112,13 @@
 	limitRate, lastRate float64
 	allottedUntil       time.Duration
 	// grantable may be granted as standing shares until grantableUntil, for grantDuration each; grantableLimit is the
-	// rate of the limits that it is a part of. granted is what may be in use of those granted.
+	// rate of the limits that it is a part of. granted is what may be in use of those granted, by limits of rate
+	// grantedLimit.
 	grantable                     part
 	grantableLimit                float64
 	grantableUntil, grantDuration time.Duration
 	granted                       part
+	grantedLimit                  float64
 	// demandTokens were asked for since averagedAt, the time of the last report; demandRate is
 	// their moving average.
 	demandTokens float64
@@ -421,12 +423,21 @@
 	hosts := b.sharingHosts()
 	rate, burst = limits.Rate*floorFraction/hosts, limits.Burst*floorFraction/hosts
 	if at < a.allottedUntil {
-		rate, burst = a.reducedShare(limits)
-		rate, burst = math.Max(0, rate-a.granted.rate), math.Max(0, burst-a.granted.burst)
+		rate, burst = b.allottedPart(a, limits)
 	}
 	return rate, math.Max(burst, math.Min(limits.Burst, b.SlackTokens*minBurstFraction/hosts))
 }
 
+// allottedPart returns what is left of a valid allotment after the standing shares granted out of it.
+func (b *Bucket) allottedPart(a *account, limits Limits) (rate, burst float64) {
+	rate, burst = a.reducedShare(limits)
+	granted := a.granted
+	if a.grantedLimit > 0 && limits.Rate > a.grantedLimit {
+		granted = granted.times(limits.Rate / a.grantedLimit) // shares that were reduced are no longer
+	}
+	return math.Max(0, rate-granted.rate), math.Max(0, burst-granted.burst)
+}
+
 // sharingHosts returns the number of hosts among which the limits are divided.
 func (b *Bucket) sharingHosts() float64 {
 	if b.hostCount == 0 {
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -524,5 +524,6 @@
 	if granted.rate <= 0 && b.customers[customer] == nil {
 		return
 	}
-	b.account(customer, limits, b.Now()).granted = granted
+	a := b.account(customer, limits, b.Now())
+	a.granted, a.grantedLimit = granted, limits.Rate
 }
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -41,6 +41,7 @@
 	// spent are the tokens spent in each step, by customer; allowed the tokens that the rate then allowed.
 	spent, allowed map[string][]float64
 	steps          int
+	violation      string // first violation that verify found; empty: none
 	// lost is the part of the replies to reports that are lost, late the part of reports that arrive again after the next
 	// one, paused the part of replies before which an entry host is suspended for up to 7 s.
 	lost, late, paused float64
@@ -201,6 +202,9 @@
 				}
 			}
 		}
+		if x.steps%10 == 0 {
+			x.verify()
+		}
 		for i, e := range x.entries {
 			if (x.steps+i*7)%40 == 0 {
 				x.refresh(e)
@@ -345,6 +349,9 @@
 // largest that the customer had.
 func (x *sim) check(t *testing.T, customer string, burst float64) {
 	t.Helper()
+	if x.violation != "" {
+		t.Fatalf("seed %d: %s", x.seed, x.violation)
+	}
 	n := int(simWindow / simStep)
 	spent, allowed := 0.0, 0.0
 	for i := range x.spent[customer] {
@@ -360,6 +367,33 @@
 	}
 }
 
+// verify checks that the parts of the limits that hosts may use at this moment, each by its own clock, are not more than
+// the limits: the shares that entry hosts hold, what control hosts may spend of their allotments, and the reserve.
+func (x *sim) verify() {
+	for customer, limits := range x.limits {
+		var standing, direct, free part
+		for _, e := range x.entries {
+			if a := e.bucket.customers[customer]; a != nil && e.now() < a.allottedUntil {
+				rate, burst := a.reducedShare(limits)
+				standing = standing.plus(part{rate, burst})
+			}
+		}
+		for _, c := range x.controls {
+			if a := c.bucket.customers[customer]; a != nil && c.now() < a.allottedUntil {
+				rate, burst := c.bucket.allottedPart(a, limits)
+				direct = direct.plus(part{rate, burst})
+			}
+		}
+		if x.leader != nil && x.up(&x.leader.simHost) {
+			_, free.rate, free.burst = x.leader.allocator.fillReserve(customer, limits, x.leader.now())
+		}
+		sum, largest, bound := standing.plus(direct).plus(free), part{limits.Rate, limits.Burst}.times(1.0001), maxStanding(limits).times(1.0001)
+		if x.violation == "" && (sum.rate > largest.rate || sum.burst > largest.burst || standing.rate > bound.rate || standing.burst > bound.burst) {
+			x.violation = fmt.Sprintf("at step %d limits %v, shares %.0f, allotments %.0f, reserve %.0f", x.steps, limits, standing, direct, free)
+		}
+	}
+}
+
 // held returns the sum of the shares that entry hosts may spend, and their number.
 func (x *sim) held(customer string) (sum part, n int) {
 	for _, e := range x.entries {
@@ -485,6 +519,7 @@
 	l := x.load("c", 0.6*300_000, 250)
 	x.settle()
 	x.leader.downUntil = x.clock.Now() + 4*time.Second
+	x.leader = nil
 	x.run(electionDuration, nil)
 	x.elect()
 	x.run(10*time.Second, nil)
@@ -626,6 +661,7 @@
 			}
 			x.run(time.Duration(r.Int64N(int64(3*time.Second))), nil)
 			if x.leader == nil || !x.up(&x.leader.simHost) || x.leader.partitioned || r.IntN(6) == 0 {
+				x.leader = nil
 				x.run(electionDuration, nil)
 				x.elect()
 			}
