--- a/internal/allocator/share.go
+++ b/internal/allocator/share.go
@@ -226,7 +226,6 @@
 	for _, a := range b.customers {
 		if b.LoansOnly && a.rate > 0 && now >= a.allottedUntil {
 			a.rate, a.burst = 0, 0
-			a.level = math.Min(a.level, 0)
 			n++
 		}
 	}
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -82,6 +82,7 @@
 	lender    *Lender
 	number    uint64
 	late      *schema.Peer
+	cutOff    bool // no message passes to or from another control host
 }
 
 type simEntry struct {
@@ -138,7 +139,7 @@
 	c.bucket = &Bucket{Now: c.now, Limits: x.limitsOf, SlackTokens: simSlack, Adaptive: x.isAdaptive}
 	c.granter = &Granter{Now: c.now, Limits: x.limitsOf, Adaptive: x.isAdaptive, Bucket: c.bucket}
 	c.lender = &Lender{Bucket: c.bucket, Background: func(f func()) { f() }, Draw: func(_ context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
-		if x.leader == nil || !x.reaches(&c.simHost, &x.leader.simHost) {
+		if x.leader == nil || !x.reaches(&c.simHost, &x.leader.simHost) || c.cutOff && c != x.leader {
 			return 0, 0, errLost
 		}
 		return x.leader.allocator.LendOrLearn(customer, minTokens, maxTokens)
@@ -301,7 +302,7 @@
 
 // consult sends a control host's report to the leader.
 func (x *sim) consult(c *simControl) {
-	if x.leader == nil || !x.reaches(&c.simHost, &x.leader.simHost) || !x.up(&c.simHost) {
+	if x.leader == nil || !x.reaches(&c.simHost, &x.leader.simHost) || !x.up(&c.simHost) || c.cutOff && c != x.leader {
 		return
 	}
 	var customers []string
@@ -634,7 +635,7 @@
 			r := x.rand
 			l.hosts = 1 + r.IntN(len(x.entries))
 			c, e := x.controls[r.IntN(len(x.controls))], x.entries[r.IntN(len(x.entries))]
-			switch r.IntN(11) {
+			switch r.IntN(13) {
 			case 0:
 				x.restartControl(c)
 				c.downUntil = x.clock.Now() + time.Duration(r.Int64N(int64(3*time.Second)))
@@ -655,6 +656,8 @@
 			case 8:
 				x.limits["c"] = limits
 			case 9:
+				c.cutOff = c != x.leader && !c.cutOff
+			case 10:
 				for _, e := range x.entries {
 					e.control = r.IntN(len(x.controls))
 				}
@@ -686,6 +689,36 @@
 	}
 }
 
+// TestLeaseCountsFromReport guards against a holder that counts a lease from when the reply is applied, which may be
+// long after the control host granted it.
+func TestLeaseCountsFromReport(t *testing.T) {
+	now := time.Hour
+	b := &Bucket{Now: func() time.Duration { return now }, LoansOnly: true, Limits: func(string) (Limits, bool) { return Limits{1000, 1000}, true }}
+	share := &schema.Share{Customer: "c", Rate: 100, Burst: 100, Left: 6}
+	b.ApplyStanding([]*schema.Share{share}, now-2*time.Second)
+	if got := b.Standing(); len(got) != 1 || got[0].Left != 4 {
+		t.Errorf("share granted 2 s ago: %v, want 4 s left", got)
+	}
+	b.ApplyStanding([]*schema.Share{share}, now-7*time.Second)
+	if got := b.Standing(); len(got) != 0 {
+		t.Errorf("share granted 7 s ago: %v, want none", got)
+	}
+}
+
+// TestGrantsAtEndOfAllotment guards against a leader that gives a standing part to others while shares are in use that a
+// control host granted after its last report: it is cut off from the leader, but not from its entry hosts.
+func TestGrantsAtEndOfAllotment(t *testing.T) {
+	x := newSim(8, 2, 2, map[string]Limits{"c": {Rate: 100_000, Burst: 100_000}})
+	l := x.load("c", 80_000, 250)
+	x.settle()
+	for _, c := range x.controls {
+		c.cutOff = c != x.leader
+	}
+	l.rate = 150_000
+	x.run(15*time.Second, nil)
+	x.check(t, "c", 100_000)
+}
+
 // TestNotAdaptive guards against changes where the settings do not call for standing shares: no share is reported or
 // granted, a leader names no standing part, callers are told 429 as before, and what is lent and allotted is the same as
 // that of parts that know of no shares.
