Standing shares: tests of the calls, bounded log lines, operations

The log lines are written at most once a second and count what happened since the last one, as shares of 300 hosts can begin and end with each report.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -331,6 +331,13 @@
 	}
 }
 
+// AllotmentNumber returns the number of the newest allotment in use.
+func (b *Bucket) AllotmentNumber() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allotmentNumber
+}
+
 // Report returns the customers' demand since the last report, in tokens per second, and the
 // number of the allotment in use. Customers in expected are reported although they may have
 // asked for nothing yet, so that their first request finds an allotment.
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -4,10 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
-// shareLogInterval bounds the log lines on figures that cannot be used.
+// shareLogInterval bounds the log lines on standing shares.
 const shareLogInterval = time.Second
 
 // shareLog bounds the log lines on what hosts report of standing shares.
@@ -15,6 +16,21 @@
 	mu       sync.Mutex
 	nextAt   time.Duration // when the next line on an unusable figure may be written; guarded by mu
 	unusable uint64        // number of unusable figures that the leader had counted with its last line; guarded by mu
+	// decidedAt is when the next line on decisions may be written, decided the counters as of the last one; guarded by mu
+	decidedAt time.Duration
+	decided   allocator.GrantStats
+}
+
+// next returns the present counters and those of the last line on decisions, and false if it is too early for another.
+func (l *shareLog) next(now time.Duration, stats func() allocator.GrantStats) (all, logged allocator.GrantStats, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now < l.decidedAt {
+		return all, logged, false
+	}
+	all, logged = stats(), l.decided
+	l.decidedAt, l.decided = now+shareLogInterval, all
+	return all, logged, true
 }
 
 func (l *shareLog) allows(now time.Duration) bool {
@@ -38,13 +54,25 @@
 	if s.UnusableField != "" && k.shares.allows(k.c.Timer.Now()) {
 		k.c.Log.Warn().Str("peer", p.Name).Str("field", s.UnusableField).Float64("value", s.UnusableValue).Msg("report on tokens cannot be used")
 	}
-	if s.Granted > 0 || s.Ended > 0 {
-		k.c.Log.Info().Str("peer", p.Name).Uint64("incarnation", p.Incarnation).Uint64("number", p.Number).Int("demands", len(p.Demands)).Int("held", len(p.Standing)).
-			Int("granted", s.Granted).Int("renewed", s.Renewed).Int("refused", s.Refused).Int("ended", s.Ended).Float64("rate", s.Rate).Msg("standing shares decided")
+	if s.Granted > 0 || s.Ended > 0 || s.Refused > 0 {
+		k.logShares(p, s)
 	}
 	return shares
 }
 
+// logShares logs the decision on one host's report, and what was decided on all since the last line.
+func (k *Cluster) logShares(p *schema.Peer, s allocator.GrantSummary) {
+	all, logged, ok := k.shares.next(k.c.Timer.Now(), k.Granter.Stats)
+	if !ok {
+		return
+	}
+	k.c.Log.Info().Str("peer", p.Name).Uint64("incarnation", p.Incarnation).Uint64("number", p.Number).Int("demands", len(p.Demands)).Int("held", len(p.Standing)).
+		Int("granted", s.Granted).Int("renewed", s.Renewed).Int("refused", s.Refused).Int("ended", s.Ended).Float64("rate", s.Rate).
+		Uint64("allotment", k.Bucket.AllotmentNumber()).Float64("allRates", all.Rate).Int("customers", all.Customers).
+		Uint64("allGranted", all.Granted-logged.Granted).Uint64("allRenewed", all.Renewed-logged.Renewed).
+		Uint64("allRefused", all.Refused-logged.Refused).Uint64("allExpired", all.Expired-logged.Expired).Msg("standing shares decided")
+}
+
 // allot returns the leader's allotment for a control host that reports.
 func (k *Cluster) allot(p *schema.Peer) *schema.Allotment {
 	allotment := k.Allocator.Allot(p)
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -88,7 +88,9 @@
 	failedAt       map[string]time.Duration // time of the last failure, by address, on Timer's clock
 	controlLost    bool
 	reportedReady  bool // Ready of the last report
-	unusableLog    logLimit
+	// unusableLog and sharesLog bound log lines; loggedShares are the counters as of the last line.
+	unusableLog, sharesLog logLimit
+	loggedShares           allocator.ShareStats
 }
 
 // Run sends reports and applies the replies until ctx ends. It always returns nil.
@@ -332,21 +334,24 @@
 	return nil
 }
 
-// applyStanding applies the standing shares of a reply, and logs when shares begin and end.
+// applyStanding applies the standing shares of a reply. A log line counts the shares that began and ended since the
+// last one.
 func (r *Refresher) applyStanding(shares []*schema.Share, sentAt time.Duration) {
 	c := r.Bucket.ApplyStanding(shares, sentAt)
 	if c.UnusableField != "" && r.unusableLog.allows(r.Timer.Now()) {
 		r.Log.Warn().Str("field", c.UnusableField).Float64("value", c.UnusableValue).Str("control", r.controlAddress).Msg("standing share cannot be used")
 	}
-	if c.Granted > 0 || c.Expired > 0 {
-		s := r.Bucket.Stats()
-		r.Log.Info().Int("granted", c.Granted).Int("renewed", c.Renewed).Int("expired", c.Expired).Int("held", s.Held).
-			Float64("spent", s.SpentTokens).Dur("transit", r.Timer.Now()-sentAt).Str("control", r.controlAddress).Msg("standing shares changed")
+	s := r.Bucket.Stats()
+	if logged := &r.loggedShares; (s.Granted != logged.Granted || s.Expired != logged.Expired) && r.sharesLog.allows(r.Timer.Now()) {
+		r.Log.Info().Uint64("granted", s.Granted-logged.Granted).Uint64("renewed", s.Renewed-logged.Renewed).Uint64("expired", s.Expired-logged.Expired).
+			Float64("spent", s.SpentTokens-logged.SpentTokens).Int("held", s.Held).Dur("transit", r.Timer.Now()-sentAt).
+			Str("control", r.controlAddress).Msg("standing shares changed")
+		*logged = s
 	}
 }
 
-// unusableLogInterval bounds the log lines on figures that cannot be used.
-const unusableLogInterval = time.Second
+// shareLogInterval bounds the log lines on standing shares.
+const shareLogInterval = time.Second
 
 // logLimit lets one line pass in an interval.
 type logLimit struct{ nextAt time.Duration }
@@ -355,7 +360,7 @@
 	if now < l.nextAt {
 		return false
 	}
-	l.nextAt = now + unusableLogInterval
+	l.nextAt = now + shareLogInterval
 	return true
 }
 
--- a/internal/refresher/refresher_test.go
+++ b/internal/refresher/refresher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -73,3 +74,73 @@
 	cancel()
 	<-ended
 }
+
+// sharingServer grants a standing share with each reply, and passes on the reports that it gets.
+type sharingServer struct {
+	schema.UnimplementedClusterServiceServer
+	reports chan *schema.Peer
+}
+
+func (s sharingServer) Refresh(ctx context.Context, r *schema.RefreshRequest) (*schema.RefreshReply, error) {
+	select {
+	case s.reports <- r.Self:
+	case <-ctx.Done():
+	}
+	return &schema.RefreshReply{Standing: []*schema.Share{{Customer: "c", Rate: 100, Burst: 100, Left: 6, Limit: 1000}}}, nil
+}
+
+func (s sharingServer) Borrow(context.Context, *schema.BorrowRequest) (*schema.BorrowReply, error) {
+	return &schema.BorrowReply{Leader: true, Starting: true, Retry: 2}, nil
+}
+
+// TestStandingSharesReported guards against shares that are granted and not applied, or held and not reported, with which
+// a control host would grant them again to others; and against a leader that has just started being taken for one that
+// refuses. Without adaptive mode no demand is reported.
+func TestStandingSharesReported(t *testing.T) {
+	for _, adaptive := range []bool{false, true} {
+		s, err := dialer.NewServer("secret", nil, func(string) bool { return false }, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := sharingServer{reports: make(chan *schema.Peer)}
+		schema.RegisterClusterServiceServer(s, server)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Serve(l) }()
+		defer s.Stop()
+		clock := &timer.Service{}
+		d := &dialer.Dialer{Secret: "secret", Timer: clock}
+		defer d.Close()
+		table := &cataloger.Table{Timer: clock, AnnounceInterval: time.Second, IsMirror: true}
+		table.Start()
+		limits := func(string) (allocator.Limits, bool) { return allocator.Limits{Rate: 1000, Burst: 1000}, true }
+		isAdaptive := func() bool { return adaptive }
+		r := &Refresher{
+			Timer: clock, Dialer: d, Log: zerolog.Nop(), SeedAddresses: func() []string { return []string{l.Addr().String()} }, Adaptive: isAdaptive,
+			SelfReport: func() *schema.Peer { return &schema.Peer{Name: "a"} }, Distributor: &distributor.Distributor{Timer: clock}, Table: table,
+			Bucket: &allocator.Bucket{Now: clock.Now, LoansOnly: true, Adaptive: isAdaptive, Limits: limits},
+		}
+		r.Init()
+		_, _ = r.Bucket.Take("c", 10)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = clock.Run(ctx) }()
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		first, second := <-server.reports, <-server.reports
+		if (len(first.Demands) == 1) != adaptive || len(first.Standing) != 0 {
+			t.Errorf("adaptive %v: first report %v", adaptive, first)
+		}
+		if len(second.Standing) != 1 || second.Standing[0].Rate != 100 || !(second.Standing[0].Left < 6) {
+			t.Errorf("adaptive %v: report after a share was granted: %v", adaptive, second)
+		}
+		tokens, _, err := r.Borrow(ctx, "c", 10, 10)
+		var starting *allocator.StartingError
+		if tokens != 0 || !errors.As(err, &starting) || starting.RetryAfter != 2*time.Second {
+			t.Errorf("loan while the leader learns: %v, %v", tokens, err)
+		}
+		cancel()
+		<-ended
+	}
+}
