A new leader withholds nothing once all control hosts have reported what they granted

Cause: of a customer whose shares are a small part of what may be granted, a new leader withheld up to 0.45 of the limits for 10 s, although the control hosts were there and knew what they had granted. Change: a control host that has run for longer than a lease says that its report is complete. When all have said so after the allotments of the earlier leader have ended, and the group has been the same for 10 s, nothing is withheld. Ruled out: a smaller largest part for each control host.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -45,6 +45,8 @@
 	Limits func(customer string) (Limits, bool)
 	// Adaptive reports whether a part of the allotments may be granted as standing shares. Nil: none may.
 	Adaptive func() bool
+	// Members returns the names of the control hosts, to which alone standing shares are permitted. Nil: not known.
+	Members func() []string
 
 	mu          sync.Mutex
 	startedAt   time.Duration                     // when this host became the leader; guarded by mu
@@ -56,6 +58,12 @@
 	reserves map[string]*reserve
 	// standing is what control hosts reported that entry hosts may be using: customer → host → reports; guarded by mu
 	standing map[string]map[string][]lease
+	// complete holds the control hosts that have reported all that they granted before Start and may grant under
+	// allotments of earlier leaders; guarded by mu
+	complete map[string]bool
+	// members is the last result of Members, unchanged since membersSince; guarded by mu
+	members      []string
+	membersSince time.Duration
 	// sharesSeen is set if a control host reported standing shares since Start; guarded by mu
 	sharesSeen bool
 	stats      AllocatorStats // guarded by mu
@@ -110,6 +118,7 @@
 	a.reserves = map[string]*reserve{}
 	a.standing = map[string]map[string][]lease{}
 	a.sharesSeen = false
+	a.complete = map[string]bool{}
 	a.lastNumber = term << termShift
 }
 
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -454,7 +454,8 @@
 		}
 	}
 	sortShares(p.Standing)
-	if adaptive && now-g.startedAt < withClockDrift(StandingDuration) {
+	p.Complete = adaptive && now-g.startedAt >= withClockDrift(StandingDuration)
+	if adaptive && !p.Complete {
 		p.Allotment = 0 // what an earlier process granted under an earlier allotment may be in use
 	}
 }
--- a/internal/allocator/standing.go
+++ b/internal/allocator/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -11,6 +12,23 @@
 // a control host may grant one at the end of its allotment.
 var learnDuration = withClockDrift(LeaseDuration + StandingDuration)
 
+// allotmentEnd is how long after the start of a leader allotments of an earlier leader may be in use.
+var allotmentEnd = withClockDrift(LeaseDuration)
+
+// NoteMembers records the present control hosts. It must be called several times a second, also while this host does
+// not lead: what a host granted that has left the group may be in use.
+func (a *Allocator) NoteMembers() {
+	if a.Members == nil {
+		return
+	}
+	members := slices.Sorted(slices.Values(a.Members()))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.members == nil || !slices.Equal(members, a.members) {
+		a.members, a.membersSince = members, a.Now()
+	}
+}
+
 func (a *Allocator) adaptive() bool { return a.Adaptive != nil && a.Adaptive() }
 
 func (a *Allocator) recordUnusable(host, field string) {
@@ -21,6 +39,9 @@
 // recordStanding stores what a control host's entry hosts may be using. A complete report replaces the earlier ones: it
 // names all that the host granted, and the host uses no earlier allotment.
 func (a *Allocator) recordStanding(p *schema.Peer, complete bool, now time.Duration) {
+	if p.Complete && now-a.startedAt >= allotmentEnd {
+		a.complete[p.Name] = true
+	}
 	for customer, hosts := range a.standing {
 		if complete {
 			delete(hosts, p.Name)
@@ -107,14 +128,24 @@
 }
 
 // withheld returns what entry hosts may be using as standing shares without this leader's knowledge: what an earlier
-// leader may have permitted and no control host has reported yet.
+// leader may have permitted and no control host has reported yet. It is
+// nothing once all control hosts have reported all that they granted.
 func (a *Allocator) withheld(customer string, limits Limits, now time.Duration) part {
 	if now-a.startedAt >= learnDuration || !a.sharesSeen && !a.adaptive() {
 		return part{}
 	}
+	if a.allComplete(now) {
+		return part{}
+	}
 	return maxStanding(limits).minus(a.totalStanding(customer, "", limits, now)).larger(part{})
 }
 
+// allComplete reports whether all control hosts that may have granted shares in the time of an earlier leader have
+// reported what they granted. A host that has left the group since may have granted more.
+func (a *Allocator) allComplete(now time.Duration) bool {
+	return a.members != nil && now-a.membersSince >= learnDuration && !slices.ContainsFunc(a.members, func(name string) bool { return !a.complete[name] })
+}
+
 // Learning returns the time after which a new leader is expected to know more of what is in use of a customer's limits;
 // 0 means that it knows all.
 func (a *Allocator) Learning(customer string) time.Duration {
@@ -152,7 +183,7 @@
 // renewStanding returns an allotment by which a control host may renew the standing shares that its entry hosts hold,
 // and grant nothing else. It leaves earlier allotments as they are.
 func (a *Allocator) renewStanding(p *schema.Peer, now time.Duration) *schema.Allotment {
-	if !a.adaptive() {
+	if !a.adaptive() || !a.isMember(p.Name) {
 		return nil
 	}
 	out := &schema.Allotment{Host: p.Name, Incarnation: p.Incarnation, Lease: int64(LeaseDuration)}
@@ -194,6 +225,9 @@
 		// What entry hosts report may be renewed, as that does not raise the sum.
 		standing = standing.larger(a.reportedPart(customer, name, limits, now).smaller(maxStanding(limits)))
 	}
+	if !a.isMember(name) {
+		standing = part{}
+	}
 	total := direct.plus(standing).smaller(left).larger(part{})
 	a.recordAllotment(name, customer, allotment{
 		number: a.lastNumber, part: total, until: now + LeaseDuration, standing: standing, limit: limits.Rate, standingUntil: now + learnDuration,
@@ -204,6 +238,11 @@
 	}
 }
 
+// isMember reports whether a control host belongs to the group.
+func (a *Allocator) isMember(name string) bool {
+	return a.members == nil || slices.Contains(a.members, name)
+}
+
 // usableRate returns the rate that a control host's entry hosts could use as standing shares. Until the host knows what
 // it may grant of the burst, that is little, since what they cannot use is missing elsewhere.
 func (a *Allocator) usableRate(name, customer string) float64 {
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -136,6 +136,13 @@
 	}
 	c.number = 0
 	c.allocator = &Allocator{Now: c.now, Limits: x.limitsOf, Adaptive: x.isAdaptive}
+	c.allocator.Members = func() []string {
+		var names []string
+		for _, c := range x.controls {
+			names = append(names, c.name)
+		}
+		return names
+	}
 	c.bucket = &Bucket{Now: c.now, Limits: x.limitsOf, SlackTokens: simSlack, Adaptive: x.isAdaptive}
 	c.granter = &Granter{Now: c.now, Limits: x.limitsOf, Adaptive: x.isAdaptive, Bucket: c.bucket}
 	c.lender = &Lender{Bucket: c.bucket, Background: func(f func()) { f() }, Draw: func(_ context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
@@ -213,6 +220,9 @@
 		}
 		for i, c := range x.controls {
 			if (x.steps+i*3)%20 == 0 {
+				if x.up(&c.simHost) {
+					c.allocator.NoteMembers()
+				}
 				x.consult(c)
 			}
 		}
@@ -533,6 +543,76 @@
 	x.check(t, "c", 300_000)
 }
 
+// TestLeaderReplacedInCalm guards against a new leader that waits for leases to end although all control hosts have
+// told it what they granted: 300 hosts of a customer whose shares are a small part of what may be granted. Once the
+// allotments of the earlier leader have ended, requests within the limits must be granted.
+func TestLeaderReplacedInCalm(t *testing.T) {
+	x := newSim(10, 9, 300, map[string]Limits{"c": {Rate: 200_000, Burst: 200_000}})
+	l := x.load("c", 0.8*200_000, 2_000)
+	x.settle()
+	x.leader = nil
+	x.run(electionDuration, nil)
+	x.elect()
+	x.run(allotmentEnd+500*time.Millisecond, nil)
+	l.reset()
+	x.run(4*time.Second, nil)
+	if got := l.share(served); got < 0.99 {
+		t.Errorf("%.3f granted, want 0.99: %v", got, l.tally)
+	}
+	x.check(t, "c", 200_000)
+}
+
+// TestLeaderLearns guards against a new leader that takes what it knows for all that is in use: it must withhold the
+// largest standing part until each control host has reported all that it granted, at a time when it can grant nothing
+// more under an earlier leader's allotment, and none has left the group lately; else until all leases have ended.
+func TestLeaderLearns(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name               string
+		complete           bool          // the second control host reports that it names all
+		members            int           // number of control hosts that are known
+		changed            time.Duration // when the group last changed, before the start
+		reportedAt, wantAt time.Duration // after the start
+	}{
+		{"all report", true, 2, 20 * second, 5 * second, 5 * second},
+		{"all report too early", true, 2, 20 * second, 4 * second, learnDuration},
+		{"one has started again", false, 2, 20 * second, 5 * second, learnDuration},
+		{"one is silent", true, 3, 20 * second, 5 * second, learnDuration},
+		{"one has left the group", true, 2, 2 * second, 5 * second, learnDuration - 2*second},
+		{"group not known", true, 0, 20 * second, 5 * second, learnDuration},
+	} {
+		clock := &timer.Service{Clock: &timer.ManualClock{}}
+		clock.Advance(time.Hour)
+		a := &Allocator{Now: clock.Now, Adaptive: func() bool { return true }, Limits: func(string) (Limits, bool) { return Limits{Rate: 1000, Burst: 1000}, true }}
+		members := []string{"left"}
+		if c.members > 0 {
+			a.Members = func() []string { return members }
+		}
+		a.NoteMembers()
+		clock.Advance(20*second - c.changed)
+		members = []string{"a", "b", "c"}[:c.members]
+		a.NoteMembers()
+		clock.Advance(c.changed)
+		a.Start(2)
+		number := uint64(0)
+		gotAt := time.Duration(-1)
+		for at := time.Duration(0); at < 15*second && gotAt < 0; at += 50 * time.Millisecond {
+			if at > 0 && at <= c.reportedAt && at%second == 0 {
+				number++
+				a.Allot(&schema.Peer{Name: "a", Incarnation: 1, Number: number, Allotment: 1, Complete: true})
+				a.Allot(&schema.Peer{Name: "b", Incarnation: 1, Number: number, Allotment: 1, Complete: c.complete})
+			}
+			if a.withheld("c", Limits{Rate: 1000, Burst: 1000}, clock.Now()).rate < 450 {
+				gotAt = at
+			}
+			clock.Advance(50 * time.Millisecond)
+		}
+		if want := c.wantAt.Truncate(50 * time.Millisecond); gotAt < want || gotAt > want+50*time.Millisecond {
+			t.Errorf("%s: nothing withheld from %v on, want %v", c.name, gotAt, want)
+		}
+	}
+}
+
 // TestPartitionedEntryHost guards against a share that its holder spends after its lease, or that is granted to others
 // before it has ended. Callers of the host that is cut off are granted its share, those of the others all.
 func TestPartitionedEntryHost(t *testing.T) {
@@ -719,6 +799,27 @@
 	x.check(t, "c", 100_000)
 }
 
+// TestStartedControlHostIsNotComplete guards against a leader that drops what an earlier process of a control host may
+// have granted: until those leases have ended, the host reports no allotment in use and that its report is not complete.
+func TestStartedControlHostIsNotComplete(t *testing.T) {
+	now := time.Hour
+	limits := func(string) (Limits, bool) { return Limits{Rate: 1000, Burst: 1000}, true }
+	adaptive := func() bool { return true }
+	clock := func() time.Duration { return now }
+	g := &Granter{Now: clock, Limits: limits, Adaptive: adaptive, Bucket: &Bucket{Now: clock, Limits: limits, Adaptive: adaptive}}
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {StandingDuration, false}, {withClockDrift(StandingDuration), true}} {
+		now = time.Hour + c.after
+		p := &schema.Peer{Allotment: 5}
+		g.Fill(p)
+		if p.Complete != c.want || (p.Allotment == 5) != c.want {
+			t.Errorf("%v after the start: complete %v, allotment %d", c.after, p.Complete, p.Allotment)
+		}
+	}
+}
+
 // TestNotAdaptive guards against changes where the settings do not call for standing shares: no share is reported or
 // granted, a leader names no standing part, callers are told 429 as before, and what is lent and allotted is the same as
 // that of parts that know of no shares.
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -132,6 +132,7 @@
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
 	k.findings = &quarantiner.Link{Source: k.Evidence, Register: k.Quarantine}
+	k.Allocator.Members = func() []string { return k.c.view.Load().memberAddresses() }
 	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
 	k.candidates = map[uint64]candidate{}
@@ -232,6 +233,7 @@
 }
 
 func (k *Cluster) updateMembership() {
+	k.Allocator.NoteMembers()
 	now := k.c.Timer.Now()
 	v := k.c.view.Load()
 	if !v.holdsLease(now) {
