Shares outlast a restart of control hosts on real processes; no 429 while control learns

Cause, found in trials with real processes (three control hosts killed for 1.5 s, one customer at 0.8 of its limits): a control host that had not applied the configuration answered that the customer may retry in 10 s, which entry hosts took for 429; it dropped what hosts reported of customers it did not know yet, so shares ended; hosts that changed their control host counted twice, so the reserve stood at 0 with a retry of 10 s; callers refused while the leader learned were told to return after 20 ms. Change: such a control host does not decide on loans, in either mode; reports on customers that it may not know yet are kept; the part that is never divided stays free; while hosts count twice, refusals are 503; callers are told when the leader is expected to know, and entry hosts ask again after 0.1 s.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -35,8 +35,9 @@
 	// MissingTokens is the number of tokens to borrow, DemandRate the customer's average demand at
 	// this host in tokens per second.
 	MissingTokens, DemandRate float64
-	// Starting means that the leader cannot know yet whether the customer is over its rate.
-	Starting bool
+	// Learning is above 0 if the leader cannot know yet whether the customer is over its rate: it is the time after
+	// which the leader is expected to. A loan may be possible before, after RetryAfter.
+	Learning time.Duration
 }
 
 // Error returns the customer and the time to wait.
@@ -169,7 +170,7 @@
 	}
 	return &OverRateError{
 		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - a.borrowed, DemandRate: a.demandRate,
-		Starting: now < a.startingUntil,
+		Learning: max(0, a.startingUntil-now),
 	}
 }
 
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -35,6 +35,9 @@
 	Adaptive func() bool
 	// Bucket holds the allotment.
 	Bucket *Bucket
+	// Unconfirmed reports whether customers may exist that Limits does not know yet, as this host has just started. What
+	// hosts report of them is kept until it does. Nil: never.
+	Unconfirmed func() bool
 
 	// mu guards the fields below. It is taken before Bucket.mu.
 	mu sync.Mutex
@@ -187,7 +190,7 @@
 			break
 		}
 		_, known := g.Limits(s.Customer)
-		if field, value := unusableField(s, known, withClockDrift(StandingDuration)); field != "" {
+		if field, value := unusableField(s, known || g.Unconfirmed != nil && g.Unconfirmed(), withClockDrift(StandingDuration)); field != "" {
 			g.recordUnusable(summary, field, value)
 			unknown[s.Customer] = true // what was granted to it counts until it ends
 			continue
@@ -229,7 +232,7 @@
 			break
 		}
 		_, known := g.Limits(d.Customer)
-		if field, value := unusableDemand(d, known); field != "" {
+		if field, value := unusableDemand(d, known || g.Unconfirmed != nil && g.Unconfirmed()); field != "" {
 			g.recordUnusable(summary, field, value)
 			continue
 		}
--- a/internal/allocator/lender.go
+++ b/internal/allocator/lender.go
@@ -72,8 +72,8 @@
 		return 0, err
 	}
 	switch {
-	case over.Starting:
-		return 0, &StartingError{RetryAfter: over.RetryAfter}
+	case over.RetryAfter > 0 && over.Learning > 0:
+		return 0, &StartingError{RetryAfter: over.Learning}
 	case over.RetryAfter > 0:
 		return over.RetryAfter, nil
 	}
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -8,6 +8,8 @@
 const (
 	// Smallest fraction of a customer's limits that is kept for loans.
 	minReserveFraction = 0.25
+	// Part of the limits that is free whatever hosts use: hosts without an allotment spend a floor.
+	neverDividedFraction = minReserveFraction * (1 - floorFraction)
 	// Nothing is divided if a host's equal part of the burst would hold no more than this many
 	// requests of average size.
 	minRequestsPerHost = 2.0
@@ -18,6 +20,9 @@
 	aheadFraction = 0.5
 	// Size in tokens assumed before the first request asks for a loan.
 	initialSize = 3_000.0
+	// Time after a new leader has learned what is in use in which the reserve is still empty for that reason: callers
+	// refused meanwhile are as many as some tenths of a second of the rate.
+	fillDuration = time.Second
 )
 
 // reserve is the part of a customer's limits that the leader lends for single requests. If the
@@ -30,6 +35,8 @@
 	averageSize float64
 	// lentAhead were lent before they were needed and may still be spent.
 	lentAhead float64
+	// fillsUntil is when the reserve has filled after the leader learned what is in use.
+	fillsUntil time.Duration
 }
 
 // reserveFraction returns the fraction of a customer's limits that is not divided.
@@ -83,10 +90,12 @@
 	freeBurst := freeFraction
 	if limits.Burst > 0 && (a.sharesSeen || a.adaptive()) {
 		freeBurst = 1 - a.unallottedFraction("", customer, now) - inUse.burst/limits.Burst
+		// Hosts that report to another control host count twice for a while, but this part is never divided.
+		freeFraction, freeBurst = math.Max(freeFraction, neverDividedFraction), math.Max(freeBurst, neverDividedFraction)
 	}
 	if now-a.startedAt < StartDelay {
 		// Allotments of the earlier leader may be in use: only what is never divided is free.
-		freeFraction = minReserveFraction * (1 - floorFraction)
+		freeFraction = neverDividedFraction
 		freeBurst = freeFraction
 	}
 	rate = limits.Rate * math.Max(0, freeFraction)
@@ -97,6 +106,9 @@
 		r = &reserve{filledAt: a.startedAt, averageSize: initialSize}
 		a.reserves[customer] = r
 	}
+	if a.learning(customer, limits, now) > 0 {
+		r.fillsUntil = now + fillDuration
+	}
 	r.level = math.Min(maxLevel, r.level+rate*(now-r.filledAt).Seconds())
 	r.lentAhead = math.Max(0, r.lentAhead-limits.Burst*aheadFraction*(now-r.filledAt).Seconds()/loanDuration.Seconds())
 	r.filledAt = now
--- a/internal/allocator/share.go
+++ b/internal/allocator/share.go
@@ -269,13 +269,17 @@
 	return largest[:min(len(largest), MaxStandingCustomers)]
 }
 
+// Time after which tokens are asked for again of a leader that cannot know yet what is in use: what it knows to be free
+// it lends.
+const askAgainDelay = 100 * time.Millisecond
+
 // RecordStarting records that no control host can know yet whether there are tokens to lend, and when it is expected to.
 func (b *Bucket) RecordStarting(customer string, retry time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a := b.customers[customer]; a != nil {
-		a.noLoanUntil = b.Now() + retry
-		a.startingUntil = a.noLoanUntil
+		now := b.Now()
+		a.noLoanUntil, a.startingUntil = now+min(retry, askAgainDelay), now+retry
 	}
 }
 
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -115,6 +115,12 @@
 func (k *Cluster) open(c *Controller) error {
 	k.c = c
 	k.Table.Settled = k.settled
+	if k.Allocator != nil {
+		k.Allocator.Members = func() []string { return c.view.Load().memberAddresses() }
+	}
+	if k.Granter != nil {
+		k.Granter.Unconfirmed = func() bool { return k.lastConfirmedAt() == 0 }
+	}
 	k.leavers = leaverStore{path: filepath.Join(c.Store.Folder, leaversFile), timer: c.Timer}
 	kept, err := k.leavers.load()
 	if err != nil {
@@ -132,7 +138,6 @@
 	k.consultNow = make(chan struct{}, 1)
 	k.Self.Id = c.replica.ID
 	k.findings = &quarantiner.Link{Source: k.Evidence, Register: k.Quarantine}
-	k.Allocator.Members = func() []string { return k.c.view.Load().memberAddresses() }
 	k.lender = &allocator.Lender{Bucket: k.Bucket, Draw: k.draw}
 	k.mu.Lock()
 	k.candidates = map[uint64]candidate{}
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -97,6 +97,9 @@
 
 // Borrow lends tokens of a customer to an entry host.
 func (s *ClusterService) Borrow(ctx context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
+	if !s.Cluster.knowsLimits(r.Customer) {
+		return &schema.BorrowReply{}, nil
+	}
 	tokens, retry, err := s.Cluster.lender.Lend(ctx, r.Customer, r.Need, r.Wish)
 	var starting *allocator.StartingError
 	if errors.As(err, &starting) {
@@ -112,7 +115,7 @@
 // Draw lends tokens from the reserve of a customer's limits to another control host.
 func (s *ClusterService) Draw(_ context.Context, r *schema.BorrowRequest) (*schema.BorrowReply, error) {
 	k := s.Cluster
-	if !k.c.view.Load().holdsLease(k.c.Timer.Now()) {
+	if !k.c.view.Load().holdsLease(k.c.Timer.Now()) || !k.knowsLimits(r.Customer) {
 		return &schema.BorrowReply{}, nil
 	}
 	tokens, retry, err := k.Allocator.LendOrLearn(r.Customer, r.Need, r.Wish)
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -43,6 +43,13 @@
 	return true
 }
 
+// knowsLimits reports whether this host can decide on a customer's tokens. A host that has just started, and has not
+// applied the newest configuration, may not know a customer that exists.
+func (k *Cluster) knowsLimits(customer string) bool {
+	_, known := k.Bucket.Limits(customer)
+	return known || k.lastConfirmedAt() > 0
+}
+
 // grantShares takes what an entry host reports of its callers' demand and of its standing shares, and returns the shares
 // that it may use from now on. The report is not passed on to other hosts.
 func (k *Cluster) grantShares(p *schema.Peer) []*schema.Share {
--- a/internal/controller/shares_test.go
+++ b/internal/controller/shares_test.go
@@ -46,6 +46,10 @@
 	if shares := refresh(); len(shares) > 0 {
 		t.Errorf("shares without a leader: %v", shares)
 	}
+	// A control host that has not applied the configuration yet does not know customers that exist.
+	if reply, err := s.Borrow(t.Context(), &schema.BorrowRequest{Customer: "not applied yet", Need: 10, Wish: 10}); err != nil || reply.Leader || reply.Retry > 0 {
+		t.Errorf("loan for a customer that is not known yet: %v, %v, want no decision", reply, err)
+	}
 	run()
 	defer stop()
 	for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -67,7 +67,7 @@
 func (f *Forwarder) borrow(ctx context.Context, r *Request, over *allocator.OverRateError, waitUntil time.Duration) error {
 	remaining := waitUntil - f.Timer.Now()
 	if over.RetryAfter > remaining || remaining <= 0 {
-		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval), Starting: over.Starting}
+		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval), Learning: over.Learning}
 	}
 	if over.RetryAfter > 0 {
 		return f.Timer.Sleep(ctx, max(over.RetryAfter, minBorrowInterval))
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -53,6 +54,10 @@
 	causeRequestQuarantined = "upstreams crashed under this request"
 )
 
+// learningSpread is the ratio of the time in which the leader learns what is in use to that over which the return of
+// the callers refused meanwhile is spread.
+const learningSpread = 4
+
 const (
 	// Delay after which a host that has just started knows the configuration: if all control
 	// hosts start together with it, they elect a leader first.
@@ -78,8 +83,10 @@
 	switch {
 	case errors.As(err, &r):
 		return r
-	case errors.As(err, &over) && over.Starting:
-		return refuse(http.StatusServiceUnavailable, causeNoLender, over.RetryAfter)
+	case errors.As(err, &over) && over.Learning > 0:
+		// Callers that return at the same moment would be refused again.
+		spread := rand.N(over.Learning/learningSpread + 1)
+		return refuse(http.StatusServiceUnavailable, causeNoLender, over.Learning+spread)
 	case errors.As(err, &over):
 		return refuse(http.StatusTooManyRequests, causeOverRate, over.RetryAfter)
 	case errors.As(err, &full):
