Choose engines by the expected cost of a request in adaptive mode

Requests were placed by the prompt tokens still to be read and one learned factor for each engine, so that engines of unequal speed got the same number of requests, and memory was extrapolated from this host's requests with shared parts counted once for each of them.

In adaptive mode the scheduler now asks the estimator. The time until the first event comes from the work left at the engine and its own speed; the cost adds what the choice costs others, shared parts that are read again and what a preemption would lose. Hosts report PoolLoad.work and held; control hosts sum them up, also in ModelDigest.work. Relayed requests carry the caller's estimate (RelayRequest.hint, only in adaptive mode).

--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -137,7 +137,9 @@
 func (r *regionTotal) without(host string) []*schema.PoolLoad {
 	sums := map[string]*schema.PoolLoad{}
 	for pool, l := range r.sums {
-		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading)}
+		sums[pool] = &schema.PoolLoad{
+			Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading), Work: maps.Clone(l.Work), Held: maps.Clone(l.Held),
+		}
 	}
 	for _, l := range r.included[host].GetLoads() {
 		s := sums[l.Pool]
@@ -152,6 +154,7 @@
 				delete(s.Reading, name)
 			}
 		}
+		subtractWork(s, l)
 	}
 	return sortedLoads(sums)
 }
@@ -200,6 +203,9 @@
 			for _, n := range l.Running {
 				d.Running += n
 			}
+			for _, work := range l.Work {
+				d.Work += work
+			}
 		}
 	}
 	for _, p := range t.hosts {
@@ -239,6 +245,40 @@
 		for name, n := range l.Reading {
 			s.Reading[name] += n
 		}
+		addWork(s, l)
+	}
+}
+
+// minWork is the engine time in seconds below which a difference is a rounding error.
+const minWork = 1e-6
+
+// addWork adds the work and the memory of l, which hosts report in adaptive mode only.
+func addWork(sum, l *schema.PoolLoad) {
+	if sum.Work == nil && len(l.Work) > 0 {
+		sum.Work = map[string]float64{}
+	}
+	for name, work := range l.Work {
+		sum.Work[name] += work
+	}
+	if sum.Held == nil && len(l.Held) > 0 {
+		sum.Held = map[string]int64{}
+	}
+	for name, n := range l.Held {
+		sum.Held[name] += n
+	}
+}
+
+// subtractWork subtracts the work and the memory of l, which sum includes.
+func subtractWork(sum, l *schema.PoolLoad) {
+	for name, work := range l.Work {
+		if sum.Work[name] -= work; sum.Work[name] < minWork {
+			delete(sum.Work, name)
+		}
+	}
+	for name, n := range l.Held {
+		if sum.Held[name] -= n; sum.Held[name] <= 0 {
+			delete(sum.Held, name)
+		}
 	}
 }
 
--- a/internal/cataloger/load_test.go
+++ b/internal/cataloger/load_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -58,6 +60,42 @@
 	}
 }
 
+// TestWorkThroughControlHosts guards against work and memory at upstreams that are lost or counted twice on the way
+// between hosts, and against rounding errors that stay as work after the last request. Hosts 0 and 1 report to the
+// leader, 2 and 3 to a follower.
+func TestWorkThroughControlHosts(t *testing.T) {
+	report := func(name string, n float64) *schema.Peer {
+		p := loadReport(name, "r", 1, int32(n))
+		p.Loads[0].Work, p.Loads[0].Held = map[string]float64{"u1": n * 0.1}, map[string]int64{"u1": int64(n) * 900}
+		return p
+	}
+	leader, follower := newTable(t), newTable(t)
+	tables := []*Table{leader, leader, follower, follower}
+	for i, x := range tables {
+		x.StoreHost(report(fmt.Sprint("h", i), float64(int(1)<<i)), "")
+	}
+	leader.StoreLoads("follower", follower.DirectLoads())
+	for i, x := range tables {
+		var fromLeader *schema.RegionLoad
+		if x == follower {
+			fromLeader = &schema.RegionLoad{Region: "r", Loads: leader.Loads("r", "follower")}
+		}
+		got := x.LoadsFor(&schema.Peer{Name: fmt.Sprint("h", i), Region: "r"}, fromLeader)
+		want := report("", float64(15-int(1)<<i)).Loads
+		if diff := cmp.Diff(want, got, protocmp.Transform(), cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+			t.Errorf("host %d: -want +got\n%s", i, diff)
+		}
+	}
+	if d := leader.Digests("")[0].Routes[0]; math.Abs(d.Work-1.5) > 1e-9 {
+		t.Errorf("the region's work is %v, want 1.5", d.Work)
+	}
+	alone := newTable(t)
+	alone.StoreHost(report("h0", 3), "")
+	if got := alone.LoadsFor(&schema.Peer{Name: "h0", Region: "r"}, nil); len(got[0].Work)+len(got[0].Held) != 0 {
+		t.Errorf("the only host gets %v", got)
+	}
+}
+
 // TestForwardedHostsDoNotGrowWithReports guards against a leader that receives every report of
 // every entry host: unchanged hosts are forwarded at intervals, without their loads, changed ones
 // at once.
--- a/internal/estimator/engine.go
+++ b/internal/estimator/engine.go
@@ -55,8 +55,8 @@
 	Work, WorkLeft time.Duration
 	// Prefill is the time in which the engine reads the tokens that it does not have.
 	Prefill time.Duration
-	// Caused is the delay of the average request beside it, for each slot that is in use. Loss is the engine time
-	// that is lost as requests must be preempted.
+	// Caused is the sum of the delays of the requests that run beside it. Loss is the engine time that is lost as
+	// requests must be preempted.
 	Caused, Loss time.Duration
 	// Held is the number of tokens that running requests hold, Needed the number that the request adds.
 	Held, Needed int64
@@ -202,8 +202,7 @@
 	o.FirstEvent = stretch(first, factor, left)
 	o.SlotTime = o.FirstEvent + seconds(step*r.Output.Mean)
 	_, slope := g.Speed.fit()
-	occupancy := float64(min(batch, g.Slots)) / float64(max(1, g.Slots))
-	o.Caused = seconds((prefill + slope*r.Output.Mean) * occupancy)
+	o.Caused = seconds((prefill + slope*r.Output.Mean) * float64(min(batch, g.Slots)))
 	o.Held = g.Held(now)
 	o.Needed = g.unpinned(r) + r.Own + int64(r.Output.High)
 	if over := o.Held + o.Needed - g.Tokens; over > 0 && g.Tokens > 0 && batch > 0 {
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -89,6 +89,22 @@
 	return false
 }
 
+// countEvents returns the number of complete events in events that hold more than comments.
+func countEvents(events []byte) int {
+	n, content := 0, false
+	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) > 0:
+			content = content || line[0] != ':'
+		case content:
+			n++
+			content = false
+		}
+	}
+	return n
+}
+
 // stallTimeout returns the time without an event after which a route's streams are stalled.
 func stallTimeout(route *schema.Route) time.Duration {
 	return max(minStallTimeout, stallObjectiveFactor*seconds(route.Objective), stallGapFactor*seconds(route.Gap)) + stallMargin
--- a/internal/forwarder/event_test.go
+++ b/internal/forwarder/event_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// TestCountEvents guards against comments, which keep connections open, that count as tokens of an answer, and events
+// that do not.
+func TestCountEvents(t *testing.T) {
+	for events, want := range map[string]int{
+		"": 0, ": comment\n\n": 0, "\n\n\n": 0, "data: a\n\n": 1, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n": 2,
+		": comment\n\ndata: a\ndata: b\n\n: comment\n\n": 1, ": comment\ndata: a\n\n": 1,
+	} {
+		if got := countEvents([]byte(events)); got != want {
+			t.Errorf("%q holds %d events, want %d", events, got, want)
+		}
+	}
+}
+
 // TestEventWithoutEnd guards against an upstream that exhausts this host's memory or processor by
 // an event that never ends, in pieces of any size.
 func TestEventWithoutEnd(t *testing.T) {
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -180,6 +180,9 @@
 		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion, Leaving: r.lastResort,
 		Avoid: f.leavers.newest(now),
 	}
+	if f.Scheduler.IsAdaptive() {
+		m.Hint = r.HintTokens
+	}
 	for name, incarnation := range r.avoid {
 		m.Avoid = append(m.Avoid, &schema.Leaver{Upstream: name, Incarnation: incarnation})
 	}
@@ -333,7 +336,7 @@
 	now := f.Timer.Now()
 	r := &Request{
 		ID: m.Id, Host: m.Route, Method: m.Method, Path: m.Path, Header: headerOf(m.Headers), Body: m.Body,
-		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, ArrivedAt: now - seconds(m.Age),
+		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, HintTokens: m.Hint, ArrivedAt: now - seconds(m.Age),
 		DeadlineAt: now + seconds(m.Left), relayed: true, lastResort: m.Leaving, priority: int(m.Priority), pool: m.Pool,
 	}
 	if m.Resume != nil {
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -108,5 +109,7 @@
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
 		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
+		Sizing:    estimator.Key{Route: r.route.Name, Customer: r.Customer(), Hint: r.HintTokens, Max: r.MaxOutputTokens},
+		Continues: r.takesUp() || r.reached > 0,
 	}
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -89,6 +89,7 @@
 		if len(events) > 0 {
 			if hasContent(events) {
 				watch.recordProgress()
+				reservation.RecordEvents(countEvents(events))
 				reservation.RecordFirstToken()
 				reservation.RecordReceived(call.OpenedAt())
 				s.run.RecordProgress()
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -54,7 +54,12 @@
 func (t *trace) logPlaced(reservation *scheduler.Reservation, queuedAt time.Duration) {
 	wait := t.f.Timer.Now() - queuedAt
 	t.f.Metrics.slotWait.Observe(wait.Seconds())
-	t.withHomes(t.f.Log.Info()).Str("upstream", reservation.Name).Str("address", reservation.Address).Str("software", reservation.Software).Dur("waited", wait).
+	e := t.withHomes(t.f.Log.Info())
+	if x := reservation.Estimate; x != nil {
+		e = e.Float64("output", x.Output).Dur("work", x.Work).Dur("left", x.WorkLeft).Dur("occupies", x.SlotTime).Dur("causes", x.Caused).Dur("loses", x.Loss).
+			Int64("held", x.Held).Int64("needs", x.Needed).Dur("reported", x.Age)
+	}
+	e.Str("upstream", reservation.Name).Str("address", reservation.Address).Str("software", reservation.Software).Dur("waited", wait).
 		Dur("expected", reservation.ExpectedDelay).Hex("content", quarantiner.AppendKey(nil, t.r.contentKey())).Strs("parts", t.r.sharedPartIDs()).Int64("cached", reservation.CachedTokens).Int64("input", t.r.InputTokens).Int("running", reservation.Running).
 		Bool("agreed", reservation.Preferred).Str("passed", string(reservation.PreferredSkipped)).
 		Int("sent", t.r.attempts).Msg("placed")
--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -6,7 +6,8 @@
 // For each candidate it predicts the delay until the first token, from the prompt tokens
 // that the upstream has yet to read, less those that it has cached, and a speed that is
 // learned from earlier requests. The candidate with the least cost is chosen: the predicted
-// delay and what the choice costs other requests. While no candidate can produce the first
+// delay and what the choice costs other requests. In adaptive mode the predictions rest on the expected work of the
+// request and the work left at each engine (package estimator). While no candidate can produce the first
 // token in time, the request waits, ordered by rank and then by objective. It is rejected
 // at once if the expected wait is too long.
 //
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -70,6 +71,7 @@
 	// says why the preferred upstream was not taken.
 	preferred  bool
 	skipReason Reason
+	estimate   estimator.Estimate // in adaptive mode
 }
 
 // Reason says why an upstream was not taken. It is written to the log.
@@ -201,6 +203,9 @@
 	if engine == nil {
 		return u.predictService()
 	}
+	if s.adaptive(now) {
+		return s.predictWork(w, u, engine, preferred, now)
+	}
 	slots := int(engine.Slots)
 	// A request may wait where its shared parts are cached: to read them elsewhere takes
 	// longer, and takes time from the engines.
--- a/internal/scheduler/region_test.go
+++ b/internal/scheduler/region_test.go
@@ -125,8 +125,9 @@
 	r.sent++
 	prefix := r.random.IntN(l.prefixes)
 	parts := []PromptPart{
-		{fmt.Sprintf("%d/%d", l.commonTokens, prefix%4), l.commonTokens}, {fmt.Sprintf("%d/%d/%d", l.commonTokens, l.sharedTokens, prefix), l.sharedTokens},
-		{fmt.Sprint("own", r.random.Uint64()), l.ownTokens},
+		{ID: fmt.Sprintf("%d/%d", l.commonTokens, prefix%4), Tokens: l.commonTokens},
+		{ID: fmt.Sprintf("%d/%d/%d", l.commonTokens, l.sharedTokens, prefix), Tokens: l.sharedTokens},
+		{ID: fmt.Sprint("own", r.random.Uint64()), Tokens: l.ownTokens},
 	}
 	r.sharedTokens += l.commonTokens + l.sharedTokens
 	w := &Request{
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -51,10 +52,7 @@
 
 // PromptPart is a segment of a prompt. Prompts that begin with the same parts share the cache
 // entries of these parts at an engine.
-type PromptPart struct {
-	ID     string
-	Tokens int64
-}
+type PromptPart = estimator.Part
 
 // Request describes a request as far as the choice of an upstream depends on it.
 type Request struct {
@@ -84,6 +82,14 @@
 	Software *string
 	// LastResort is set if nothing but an upstream that is leaving can serve the request.
 	LastResort bool
+	// Sizing says by which earlier answers the length of this one is estimated, in adaptive mode. Without a route,
+	// OutputTokens counts as the maximum and nothing is learned. Continues is set if the answer goes on after events
+	// that the caller has, so that nothing is learned from its length.
+	Sizing    estimator.Key
+	Continues bool
+
+	output   estimator.Output // as estimated at outputAt; guarded by Scheduler.mu
+	outputAt time.Duration
 }
 
 // Scheduler assigns requests to the upstreams of one region. Set the exported fields before
@@ -106,12 +112,15 @@
 	DrainTime time.Duration
 	// Random returns a number in [0, n). Nil means the global generator.
 	Random func(n int) int
+	// Adaptive reports whether engines are chosen by the expected cost of requests. Nil: never.
+	Adaptive func() bool
 
 	mu              sync.Mutex
 	upstreams       map[string]*upstream   // by name; guarded by mu
 	sortedUpstreams []*upstream            // the upstreams, sorted by name; guarded by mu
 	pools           map[string]*pool       // guarded by mu
 	kept            map[string]answerState // of upstreams that are not announced, by name; guarded by mu
+	expect          expectations           // guarded by mu
 	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
 }
 
@@ -157,13 +166,17 @@
 	// for the shared prefix. PreferredSkipped is the reason why another one was chosen.
 	Preferred        bool
 	PreferredSkipped Reason
+	// Estimate is what the choice rests on in adaptive mode; nil otherwise.
+	Estimate *estimator.Estimate
 
 	scheduler          *Scheduler
 	upstream           *upstream
 	request            *Request
-	reservedAt         time.Duration // time of the reservation
-	uncachedTokens     int64         // prompt tokens that the upstream is assumed to have to read
-	firstTokenReceived bool          // the first token has come
+	reservedAt         time.Duration  // time of the reservation
+	uncachedTokens     int64          // prompt tokens that the upstream is assumed to have to read
+	firstTokenReceived bool           // the first token has come
+	run                *estimator.Run // nil unless it was sent in adaptive mode
+	stride             int            // tokens of an event, if run is set
 }
 
 // Acquire reserves a slot for w, waiting for one if it is expected in time. The error is
@@ -430,6 +443,7 @@
 	if !p.firstTokenReceived {
 		u.unreadTokens -= p.uncachedTokens
 	}
+	p.endRun(o, now)
 	u.recordOutcome(o, now)
 	if o == Answered {
 		p.endTrial()
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -149,6 +150,10 @@
 	broken   bool
 	brokenAt time.Duration
 	conns    connState
+	// engine holds the estimates of its process; nil unless it was chosen among in adaptive mode. others is what
+	// other hosts reported for it.
+	engine *estimator.Engine
+	others estimator.Others
 }
 
 // UpdateUpstreams replaces the list of the region's upstreams and dispatches waiting requests.
@@ -252,6 +257,7 @@
 			}
 		}
 	}
+	s.updateOtherWork(loads, s.Timer.Now())
 	s.slotFraction = 1
 	if s.HostCount != nil {
 		s.slotFraction = 1 / float64(max(1, s.HostCount()))
@@ -293,6 +299,7 @@
 	for name, u := range s.upstreams {
 		if u.running > 0 {
 			loadOf(u.announcement.Pool).Running[name] = int32(u.running)
+			s.addOwnWork(loadOf(u.announcement.Pool), name, u)
 		}
 		if u.unreadTokens > 0 {
 			loadOf(u.announcement.Pool).Reading[name] = u.unreadTokens
@@ -340,6 +347,7 @@
 	u.slotQuota--
 	u.tokens += w.InputTokens + w.OutputTokens
 	u.unreadTokens += p.uncachedTokens
+	p.startRun(o, now)
 	u.cache.add(w.Parts, now, s.Config().Pool(w.Pool).GetEngine().GetTokens())
 	return p
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -77,6 +77,7 @@
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
+	estimates   *scheduler.EstimateMetrics
 	pool        *pooler.Pool
 	bucket      *allocator.Bucket
 	dialer      *dialer.Dialer
@@ -105,6 +106,8 @@
 		return LimitsOf(e.distributor.Current(), customer)
 	}}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount}
+	e.scheduler.Adaptive = func() bool { return e.adaptive(e.Table) }
+	e.estimates = scheduler.NewEstimateMetrics(e.scheduler)
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
 	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log}
@@ -215,7 +218,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), []prometheus.Collector{e.unusable.counter, e.lists.counter, e.estimates})
 }
 
 // Stopping reports whether the process is shutting down.
