Learn the response time of plain requests by route; bound numbers of tokens

A plain service that happened to get the requests of a slow route looked slow itself. In adaptive mode the expected time is that of the route, times what the upstream is slower for all routes; a test shows two equal services within 1.4 of each other though their routes differ 20 times.

Callers and hosts may state any number of tokens. What estimates count with is now at most 2^40, so that sums neither overflow nor keep rounding errors.

--- a/internal/estimator/engine.go
+++ b/internal/estimator/engine.go
@@ -30,10 +30,10 @@
 type Request struct {
 	// Parts are the segments of its prompt in order; all but the last may be shared.
 	Parts []Part
-	// Input is the number of tokens of the prompt, Uncached that of those that the engine must read, and Own that of
-	// those that no other request shares.
-	Input, Uncached, Own int64
-	Output               Output
+	// Uncached is the number of tokens of the prompt that the engine must read, Own that of those that no other
+	// request shares; at most MaxTokens.
+	Uncached, Own int64
+	Output        Output
 }
 
 // Others is the load of all other hosts at an engine, as last reported.
@@ -217,7 +217,7 @@
 	n := int64(0)
 	for _, p := range r.sharedParts() {
 		if k := g.shared[p.ID]; k == nil || k.pins == 0 {
-			n += p.Tokens
+			n += min(p.Tokens, MaxTokens)
 		}
 	}
 	return n
@@ -241,7 +241,7 @@
 	for _, p := range r.sharedParts() {
 		k := g.shared[p.ID]
 		if k == nil {
-			k = &sharedPart{tokens: p.Tokens}
+			k = &sharedPart{tokens: min(p.Tokens, MaxTokens)}
 			g.shared[p.ID] = k
 			g.sharedTokens += k.tokens
 		}
--- a/internal/estimator/engine_test.go
+++ b/internal/estimator/engine_test.go
@@ -11,7 +11,7 @@
 // request returns a request with a shared part of 6,300 tokens and 2,890 of its own: 9,190 with its answer's.
 func request(shared string, own int, cached bool) Request {
 	r := Request{
-		Parts: []Part{{shared, 6_300}, {fmt.Sprint("own", own), 2_840}}, Input: 9_140, Uncached: 9_140, Own: 2_840,
+		Parts: []Part{{shared, 6_300}, {fmt.Sprint("own", own), 2_840}}, Uncached: 9_140, Own: 2_840,
 		Output: Output{Mean: 50, Median: 50, High: 50, Max: 200},
 	}
 	if cached {
--- a/internal/estimator/output.go
+++ b/internal/estimator/output.go
@@ -29,6 +29,9 @@
 	// A customer's first samples count at the route's level, later ones at this interval.
 	firstShared   = 4
 	shareInterval = time.Second
+	// MaxTokens is the largest number of tokens that estimates count with: beyond any engine's memory, and so small that
+	// sums do not overflow.
+	MaxTokens = 1 << 40
 	// Length assumed if neither an estimate nor a maximum is known.
 	unknownOutput = 256
 	// Quantile of Output.High. One answer in ten is longer, which the memory beside it absorbs.
@@ -50,6 +53,12 @@
 	Hint, Max int64
 }
 
+// bounded returns k with numbers of tokens of at most MaxTokens.
+func (k Key) bounded() Key {
+	k.Hint, k.Max = min(k.Hint, MaxTokens), min(k.Max, MaxTokens)
+	return k
+}
+
 // base returns the number of tokens to which the ratios relate.
 func (k Key) base() float64 {
 	switch {
@@ -149,6 +158,7 @@
 
 // Output estimates the tokens of an answer.
 func (o *Outputs) Output(k Key, now time.Duration) Output {
+	k = k.bounded()
 	d := unhintedPrior
 	if k.Hint > 0 {
 		d = hintedPrior
@@ -183,6 +193,7 @@
 	if k.Max <= 0 {
 		out.Max = 2 * out.High
 	}
+	out.Mean, out.Median, out.High = min(out.Mean, MaxTokens), min(out.Median, MaxTokens), min(out.High, MaxTokens)
 	return out
 }
 
@@ -199,6 +210,7 @@
 	if tokens <= 0 {
 		return
 	}
+	k = k.bounded()
 	bucket := bucketOf(float64(tokens) / k.base())
 	hashes := k.levels()
 	customer := o.level(hashes[1], now)
--- a/internal/estimator/output_test.go
+++ b/internal/estimator/output_test.go
@@ -61,9 +61,10 @@
 	}{
 		{Key{Hint: 200, Max: 4096}, 200, 0.2}, {Key{Hint: 200}, 200, 0.2}, {Key{Max: 4096}, 1024, 0.2}, {Key{}, unknownOutput / 4, 0.2},
 		{Key{Hint: math.MaxInt64, Max: 100}, 100, 0.2}, {Key{Hint: 1, Max: math.MaxInt64}, 1, 0.2},
+		{Key{Max: math.MaxInt64}, MaxTokens / 4, 0.2}, {Key{Hint: math.MaxInt64}, MaxTokens, 0.2},
 	} {
 		got := o.Output(c.k, 0)
-		if !near(got.Median, c.median, c.within) || got.High < got.Median || math.IsInf(got.Mean, 0) || math.IsInf(got.Max, 0) || got.Samples != 0 {
+		if !near(got.Median, c.median, c.within) || got.High < got.Median || got.High > MaxTokens || math.IsInf(got.Mean, 0) || math.IsInf(got.Max, 0) || got.Samples != 0 {
 			t.Errorf("%+v: %+v, want a median of %.0f", c.k, got, c.median)
 		}
 	}
--- a/internal/scheduler/expect.go
+++ b/internal/scheduler/expect.go
@@ -49,6 +49,7 @@
 	outputs estimator.Outputs
 	speeds  map[string]*estimator.Speed // of the engines of a pool together, by pool
 	metrics *EstimateMetrics
+	times   map[string]*routeTime // of plain requests, by route
 	// adaptive is the result of Scheduler.Adaptive at adaptiveAt, if adaptiveKnown is set.
 	adaptive, adaptiveKnown bool
 	adaptiveAt              time.Duration
@@ -105,7 +106,7 @@
 		cached = w.InputTokens - uncached
 	}
 	g := s.engineOf(u, engine)
-	r := estimator.Request{Parts: w.Parts, Input: w.InputTokens, Uncached: uncached, Own: ownTokens(w), Output: s.expectedOutput(w, now)}
+	r := estimator.Request{Parts: w.Parts, Uncached: boundedTokens(uncached), Own: boundedTokens(ownTokens(w)), Output: s.expectedOutput(w, now)}
 	e := g.Estimate(&r, now)
 	if running > 0 && engine.Tokens > 0 && e.Held+e.Needed-int64(r.Output.High-r.Output.Mean) > engine.Tokens {
 		return nil, ReasonMemory
@@ -123,6 +124,64 @@
 	return &prediction{upstream: u, expectedDelay: e.FirstEvent, cost: cost, uncachedTokens: uncached, cachedTokens: cached, preferred: preferred, estimate: e}, ReasonNone
 }
 
+// Most routes whose response times are kept, at some 100 bytes.
+const maxRouteTimes = 4096
+
+// routeTime is the average response time of plain requests of a route, at whichever upstream.
+type routeTime struct {
+	average time.Duration
+	usedAt  time.Duration
+}
+
+// expectedService returns the response time that w may expect of a plain service without a queue; 0 if it is not
+// known. In adaptive mode it is that of the route, times what the upstream is slower for all routes: else one
+// that happens to get the slow routes would look slow itself.
+func (s *Scheduler) expectedService(w *Request, u *upstream, now time.Duration) time.Duration {
+	if t := s.expect.times[w.Sizing.Route]; t != nil && s.adaptive(now) {
+		ratio := u.serviceRatio
+		if ratio == 0 {
+			ratio = 1
+		}
+		return time.Duration(float64(t.average) * ratio)
+	}
+	return u.serviceTime
+}
+
+// learnService records the response time of a plain request. The caller holds mu.
+func (s *Scheduler) learnService(p *Reservation, now time.Duration) {
+	w, u, d := p.request, p.upstream, now-p.reservedAt
+	if w.Sizing.Route == "" || d <= 0 || s.Config().Pool(w.Pool).GetEngine() != nil || !s.adaptive(now) {
+		return
+	}
+	x := &s.expect
+	if x.times == nil {
+		x.times = map[string]*routeTime{}
+	}
+	t := x.times[w.Sizing.Route]
+	if t == nil {
+		if len(x.times) >= maxRouteTimes {
+			oldest := ""
+			for route, k := range x.times {
+				if oldest == "" || k.usedAt < x.times[oldest].usedAt {
+					oldest = route
+				}
+			}
+			delete(x.times, oldest)
+		}
+		t = &routeTime{average: d}
+		x.times[w.Sizing.Route] = t
+	}
+	if u.serviceRatio == 0 {
+		u.serviceRatio = 1
+	}
+	// The ratio is bounded, so that one response that hung does not decide for long.
+	ratio := math.Min(maxDelayFactor, math.Max(minDelayFactor, d.Seconds()/t.average.Seconds()))
+	u.serviceRatio += sampleWeight * (ratio - u.serviceRatio)
+	t.average += time.Duration(sampleWeight * float64(time.Duration(d.Seconds()/u.serviceRatio*float64(time.Second))-t.average))
+	t.average = max(t.average, time.Microsecond)
+	t.usedAt = now
+}
+
 // startRun records that p's request is sent by the expected cost o.
 func (p *Reservation) startRun(o *prediction, now time.Duration) {
 	u, w := p.upstream, p.request
@@ -132,7 +191,7 @@
 	}
 	p.Estimate = &o.estimate
 	g := p.scheduler.engineOf(u, engine)
-	p.run = g.Start(estimator.Request{Parts: w.Parts, Input: w.InputTokens, Uncached: o.uncachedTokens, Own: ownTokens(w), Output: w.output}, o.estimate, now)
+	p.run = g.Start(estimator.Request{Parts: w.Parts, Uncached: boundedTokens(o.uncachedTokens), Own: boundedTokens(ownTokens(w)), Output: w.output}, o.estimate, now)
 	p.stride = max(1, int(engine.Stride))
 }
 
@@ -174,7 +233,7 @@
 		return
 	}
 	for _, u := range s.upstreams {
-		u.others = estimator.Others{Running: u.otherRunning, Unread: u.otherUnreadTokens, ReceivedAt: now}
+		u.others = estimator.Others{Running: u.otherRunning, Unread: boundedTokens(u.otherUnreadTokens), ReceivedAt: now}
 	}
 	for _, l := range loads {
 		for name, work := range l.Work {
@@ -184,7 +243,7 @@
 		}
 		for name, tokens := range l.Held {
 			if u := s.upstreams[name]; u != nil {
-				u.others.Held = max(0, tokens)
+				u.others.Held = boundedTokens(tokens)
 			}
 		}
 	}
@@ -195,6 +254,9 @@
 	}
 }
 
+// boundedTokens returns a number of tokens that a caller or another host stated within the range in which sums do not overflow.
+func boundedTokens(n int64) int64 { return max(0, min(n, estimator.MaxTokens)) }
+
 // addOwnWork adds the work and the memory of this host's requests at an upstream to a report.
 func (s *Scheduler) addOwnWork(l *schema.PoolLoad, name string, u *upstream) {
 	if u.engine == nil || !s.adaptive(s.Timer.Now()) {
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -201,7 +201,7 @@
 	running := u.running + u.otherRunning
 	engine := s.Config().Pool(w.Pool).GetEngine()
 	if engine == nil {
-		return u.predictService()
+		return u.predictService(s.expectedService(w, u, now))
 	}
 	if s.adaptive(now) {
 		return s.predictWork(w, u, engine, preferred, now)
@@ -265,12 +265,12 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
-func (u *upstream) predictService() (*prediction, Reason) {
+// predictService predicts for a plain service whose response time for the request is service; 0 if it is not known.
+func (u *upstream) predictService(service time.Duration) (*prediction, Reason) {
 	if u.freePlaces() <= 0 {
 		return nil, ReasonSlots
 	}
 	slots := math.Max(1, float64(u.announcement.Slots))
-	service := u.serviceTime
 	if service == 0 {
 		service = overheadDelay
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -396,6 +396,7 @@
 	p.endTrial()
 	p.upstream.unreadTokens -= p.uncachedTokens
 	p.upstream.learnDelay(p, now-p.reservedAt)
+	s.learnService(p, now)
 	s.pool(p.request.Pool).learnSlowDelay(now - p.reservedAt)
 	s.dispatch(p.request.Pool, now)
 }
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -126,7 +126,10 @@
 	// serviceTime is the average response time of a plain service, 0 before the first
 	// sample. residenceTime is the average time from the reservation to the end of a whole
 	// answer.
-	serviceTime   time.Duration
+	serviceTime time.Duration
+	// serviceRatio is the average of response times relative to those of their routes, of a plain service in
+	// adaptive mode; 0 before the first sample.
+	serviceRatio  float64
 	residenceTime time.Duration
 	cache         cache
 	// lastReceivedAt is the time at which something was last received from it.
--- a/internal/scheduler/work_test.go
+++ b/internal/scheduler/work_test.go
@@ -577,3 +577,89 @@
 		})
 	}
 }
+
+// TestServiceTimeByRoute guards against a plain service that looks slow since it happened to get the requests of a slow
+// route, and against a slow one that does not.
+func TestServiceTimeByRoute(t *testing.T) {
+	s := newScheduler(plainServices(3)...)
+	s.Adaptive = func() bool { return true }
+	request := func(route string, only int) *Request {
+		w := &Request{Pool: "desk", ObjectiveAt: s.Timer.Now() + time.Second, Deadline: s.Timer.Now() + 10*time.Second, Sizing: estimator.Key{Route: route}, Excluded: map[string]bool{}}
+		for i := range 3 {
+			w.Excluded[fmt.Sprint("s", i)] = i != only
+		}
+		return w
+	}
+	play := func(route string, at int, d time.Duration) {
+		p := s.reserveNow(request(route, at))
+		s.Timer.Advance(d)
+		p.RecordFirstToken()
+		p.Release(Answered)
+	}
+	// Service 0 gets mostly slow requests, service 1 mostly fast ones, service 2 takes three times as long for both.
+	for i := range 200 {
+		slowAt, fastAt := 0, 1
+		if i%8 == 0 {
+			slowAt, fastAt = 1, 0
+		}
+		play("slow", slowAt, 400*time.Millisecond)
+		play("fast", fastAt, 20*time.Millisecond)
+		play("fast", 2, 60*time.Millisecond)
+		if i%2 == 0 {
+			play("slow", 2, 1200*time.Millisecond)
+		}
+	}
+	expected := func(route string, at int) float64 {
+		p := s.reserveNow(request(route, at))
+		defer p.Release(CallerLeft)
+		return p.ExpectedDelay.Seconds()
+	}
+	for _, route := range []string{"slow", "fast"} {
+		if a, b, c := expected(route, 0), expected(route, 1), expected(route, 2); a/b > 1.4 || b/a > 1.4 || c < 2*a {
+			t.Errorf("%s: %.3f s and %.3f s expected at equal services, %.3f s at one three times as slow", route, a, b, c)
+		}
+	}
+	for i := range 2 * maxRouteTimes {
+		play(fmt.Sprint(i), 0, time.Millisecond)
+	}
+	if n := len(s.expect.times); n > maxRouteTimes {
+		t.Errorf("%d routes kept", n)
+	}
+}
+
+// TestHugeNumbersDoNotStay guards against a caller or a host whose numbers of tokens overflow sums, or leave rounding
+// errors in them, so that an engine looks empty or full to others.
+func TestHugeNumbersDoNotStay(t *testing.T) {
+	s := newScheduler(engines(1)...)
+	s.Adaptive = func() bool { return true }
+	ordinary := s.reserveNow(s.prompt("a", 500, time.Second))
+	g := s.upstreams["e0"].engine
+	work, held := g.OwnWork(), g.OwnHeld()
+	for range 3 {
+		w := s.prompt("b", 500, time.Second)
+		for i := range w.Parts {
+			w.Parts[i].Tokens = math.MaxInt64
+		}
+		w.InputTokens, w.OutputTokens = math.MaxInt64, math.MaxInt64
+		w.Sizing = estimator.Key{Route: "r", Hint: math.MaxInt64, Max: math.MaxInt64}
+		huge := &prediction{upstream: s.upstreams["e0"], uncachedTokens: math.MaxInt64}
+		s.expectedOutput(w, s.Timer.Now())
+		p := &Reservation{scheduler: s, upstream: s.upstreams["e0"], request: w, reservedAt: s.Timer.Now()}
+		p.startRun(huge, s.Timer.Now())
+		if g.OwnWork() < work || g.OwnHeld() < held || g.Held(s.Timer.Now()) < held {
+			t.Errorf("work %v and %d held with a huge request", g.OwnWork(), g.OwnHeld())
+		}
+		p.run.End(s.Timer.Now())
+	}
+	if d := g.OwnWork() - work; d > time.Millisecond || d < -time.Millisecond || g.OwnHeld() != held {
+		t.Errorf("work %v and %d held after huge requests, %v and %d before", g.OwnWork(), g.OwnHeld(), work, held)
+	}
+	s.UpdateOtherLoads([]*schema.PoolLoad{{
+		Pool: "engine", Running: map[string]int32{"e0": 1}, Reading: map[string]int64{"e0": math.MaxInt64}, Held: map[string]int64{"e0": math.MaxInt64},
+		Work: map[string]float64{"e0": math.NaN()},
+	}})
+	if e := s.EngineStates()[0]; e.Work < 0 || e.Held < 0 {
+		t.Errorf("after a report of huge numbers: %+v", e)
+	}
+	ordinary.Release(Answered)
+}
