--- a/internal/cataloger/load.go
+++ b/internal/cataloger/load.go
@@ -140,7 +140,10 @@
 func (r *regionTotal) without(host string, age time.Duration) []*schema.PoolLoad {
 	sums := map[string]*schema.PoolLoad{}
 	for pool, l := range r.sums {
-		sums[pool] = &schema.PoolLoad{Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading), Demands: l.Demands}
+		sums[pool] = &schema.PoolLoad{
+			Pool: pool, Waiting: l.Waiting, Running: maps.Clone(l.Running), Reading: maps.Clone(l.Reading), Demands: l.Demands,
+			Work: maps.Clone(l.Work), Held: maps.Clone(l.Held),
+		}
 		for _, x := range l.Promises {
 			sums[pool].Promises = append(sums[pool].Promises, agedPromise(x, age))
 		}
@@ -158,6 +161,7 @@
 				delete(s.Reading, name)
 			}
 		}
+		subtractWork(s, l)
 	}
 	return sortedLoads(sums)
 }
@@ -214,6 +218,9 @@
 			for _, n := range l.Running {
 				d.Running += n
 			}
+			for _, work := range l.Work {
+				d.Work += work
+			}
 		}
 	}
 	for _, p := range t.hosts {
@@ -262,6 +269,40 @@
 		for _, x := range l.Promises[:min(len(l.Promises), maxPromises-len(s.Promises))] {
 			s.Promises = append(s.Promises, agedPromise(x, age))
 		}
+		addWork(s, l)
+	}
+}
+
+// minWork is the engine time in seconds below which a difference is a rounding error.
+const minWork = 1e-6
+
+// addWork adds the work and the memory of l, which hosts report in adaptive mode only.
+func addWork(sum, l *schema.PoolLoad) {
+	if sum.Work == nil && len(l.Work) > 0 {
+		sum.Work = map[string]float64{}
+	}
+	for name, work := range l.Work {
+		sum.Work[name] += work
+	}
+	if sum.Held == nil && len(l.Held) > 0 {
+		sum.Held = map[string]int64{}
+	}
+	for name, n := range l.Held {
+		sum.Held[name] += n
+	}
+}
+
+// subtractWork subtracts the work and the memory of l, which sum includes.
+func subtractWork(sum, l *schema.PoolLoad) {
+	for name, work := range l.Work {
+		if sum.Work[name] -= work; sum.Work[name] < minWork {
+			delete(sum.Work, name)
+		}
+	}
+	for name, n := range l.Held {
+		if sum.Held[name] -= n; sum.Held[name] <= 0 {
+			delete(sum.Held, name)
+		}
 	}
 }
 
--- a/internal/forwarder/queue.go
+++ b/internal/forwarder/queue.go
@@ -25,7 +25,7 @@
 }
 
 func (f *Forwarder) queuesByCustomer() bool {
-	return f.Scheduler.Adaptive != nil && f.Scheduler.Adaptive()
+	return f.Scheduler.FairQueue != nil && f.Scheduler.FairQueue()
 }
 
 // noteForecast records that no slot of this region was forecast in time.
--- a/internal/forwarder/queue_test.go
+++ b/internal/forwarder/queue_test.go
@@ -26,7 +26,7 @@
 	clock.Advance(time.Hour)
 	s := newSystemAt(t, clock, []scriptStep{text(200, events)})
 	adaptive := true
-	s.Scheduler.Adaptive = func() bool { return adaptive }
+	s.Scheduler.FairQueue = func() bool { return adaptive }
 	asked := 0
 	s.EntryHosts = func(string) []*schema.Peer { asked++; return nil }
 	s.SetRegionDigests([]*schema.RegionDigest{{Region: "idle", Routes: []*schema.ModelDigest{{Name: "p", Slots: 4}}}})
@@ -74,7 +74,7 @@
 	clock := &timer.Service{Clock: &timer.ManualClock{}}
 	clock.Advance(time.Hour)
 	s := newSystemAt(t, clock, []scriptStep{text(200, "")})
-	s.Scheduler.Adaptive = func() bool { return true }
+	s.Scheduler.FairQueue = func() bool { return true }
 	var log bytes.Buffer
 	s.Log = zerolog.New(&log)
 	remote := refuse(http.StatusServiceUnavailable, causeFull, time.Minute)
@@ -124,7 +124,7 @@
 // to a region that may have none.
 func TestPlacedRequestStays(t *testing.T) {
 	s := newSystem(t, []scriptStep{text(200, events)})
-	s.Scheduler.Adaptive = func() bool { return true }
+	s.Scheduler.FairQueue = func() bool { return true }
 	s.SetRegionDigests([]*schema.RegionDigest{{Region: "idle", Routes: []*schema.ModelDigest{{Name: "p", Slots: 4000}}}})
 	asked := 0
 	s.EntryHosts = func(string) []*schema.Peer { asked++; return nil }
@@ -156,7 +156,7 @@
 func TestFullRegionsAreNotAsked(t *testing.T) {
 	s := newSystem(t, []scriptStep{text(200, "")})
 	adaptive := true
-	s.Scheduler.Adaptive = func() bool { return adaptive }
+	s.Scheduler.FairQueue = func() bool { return adaptive }
 	s.SetRegionDigests([]*schema.RegionDigest{{Region: "full", Routes: []*schema.ModelDigest{{Name: "p", Slots: 4, Running: 4}}}})
 	r := &Request{pool: "p"}
 	for _, c := range []struct {
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -114,5 +115,7 @@
 		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
 		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
 		Customer: r.Customer(), Weight: r.customer.GetWeight(), Key: r.returnKey(), Claim: r.claim,
+		Sizing:    estimator.Key{Route: r.route.Name, Customer: r.Customer(), Hint: r.HintTokens, Max: r.MaxOutputTokens},
+		Continues: r.takesUp() || r.reached > 0,
 	}
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -37,7 +37,7 @@
 )
 
 // fairQueue holds the waiting requests of one pool, what its customers have used, and what refused callers
-// were told, while the Scheduler is adaptive.
+// were told, while FairQueue is set.
 type fairQueue struct {
 	queue    sharer.Queue[*waiter]
 	forecast forecaster.Forecast
@@ -87,7 +87,7 @@
 	Imported bool
 }
 
-func (s *Scheduler) adaptive() bool { return s.Adaptive != nil && s.Adaptive() }
+func (s *Scheduler) fairQueues() bool { return s.FairQueue != nil && s.FairQueue() }
 
 // engineTime returns the expected engine time of a request, which is what its customer is charged.
 func engineTime(w *Request) time.Duration {
@@ -106,7 +106,7 @@
 func (s *Scheduler) Claim(w *Request) (Claim, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.Key == 0 || !s.adaptive() {
+	if w.Key == 0 || !s.fairQueues() {
 		return Claim{}, nil
 	}
 	now := s.Timer.Now()
@@ -458,7 +458,7 @@
 func (s *Scheduler) updateOtherQueues(loads []*schema.PoolLoad) {
 	now := s.Timer.Now()
 	s.loadsAt = now
-	if s.adaptive() {
+	if s.fairQueues() {
 		for _, l := range loads {
 			if len(l.Promises) > 0 {
 				s.fairQueue(l.Pool).importPromises(l.Promises, now)
@@ -486,7 +486,7 @@
 }
 
 // QueueStates returns the state of the queues of all pools, sorted by name. It has none of a Scheduler that
-// has not been adaptive.
+// has not been fair.
 func (s *Scheduler) QueueStates() []QueueState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -78,7 +78,7 @@
 
 func (c *crowd) adopt(s *Scheduler) {
 	if c.adaptive {
-		s.Adaptive = func() bool { return true }
+		s.FairQueue = func() bool { return true }
 	}
 	c.Every(50*time.Millisecond, s.DispatchAll)
 }
@@ -137,7 +137,7 @@
 func (c *crowd) request(x customerSpec) {
 	c.next++
 	r := &call{spec: x, began: c.Now(), key: xxhash.Sum64String(fmt.Sprint(c.next)), host: c.random.IntN(len(c.hosts))}
-	r.parts = []PromptPart{{fmt.Sprint("own", c.next), 400}}
+	r.parts = []PromptPart{{ID: fmt.Sprint("own", c.next), Tokens: 400}}
 	c.counts[x.name].sent++
 	c.try(r)
 }
@@ -445,7 +445,7 @@
 // of requests of one customer.
 func TestRefusedAtOnce(t *testing.T) {
 	s := newScheduler(engines(1)...)
-	s.Adaptive = func() bool { return true }
+	s.FairQueue = func() bool { return true }
 	s.fillEngine()
 	s.pools["engine"].fair.holdTime = time.Second
 	own := func(customer string, key uint64) *Request {
@@ -480,7 +480,7 @@
 // in time.
 func TestClaim(t *testing.T) {
 	s := newScheduler(engines(1)...)
-	s.Adaptive = func() bool { return true }
+	s.FairQueue = func() bool { return true }
 	s.fillEngine()
 	s.pools["engine"].fair.holdTime = time.Second
 	refuse := func(key uint64) (*Request, time.Duration) {
@@ -549,7 +549,7 @@
 // queue, get a slot, are evicted, or are abandoned by their callers.
 func TestAcquireFair(t *testing.T) {
 	s := newScheduler(engines(1)...)
-	s.Adaptive = func() bool { return true }
+	s.FairQueue = func() bool { return true }
 	running := s.fillEngine()
 	s.pools["engine"].fair.holdTime = time.Second
 	type result struct {
@@ -605,7 +605,7 @@
 // BenchmarkEnqueue measures the admission of a request while 400 others wait, with 250 engines.
 func BenchmarkEnqueue(b *testing.B) {
 	s := newScheduler(engines(250)...)
-	s.Adaptive = func() bool { return true }
+	s.FairQueue = func() bool { return true }
 	for _, u := range s.sortedUpstreams {
 		u.otherRunning = 16
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
+	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/sharer"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -56,10 +57,7 @@
 
 // PromptPart is a segment of a prompt. Prompts that begin with the same parts share the cache
 // entries of these parts at an engine.
-type PromptPart struct {
-	ID     string
-	Tokens int64
-}
+type PromptPart = estimator.Part
 
 // Request describes a request as far as the choice of an upstream depends on it.
 type Request struct {
@@ -96,6 +94,14 @@
 	Software *string
 	// LastResort is set if nothing but an upstream that is leaving can serve the request.
 	LastResort bool
+	// Sizing says by which earlier answers the length of this one is estimated, in adaptive mode. Without a route,
+	// OutputTokens counts as the maximum and nothing is learned. Continues is set if the answer goes on after events
+	// that the caller has, so that nothing is learned from its length.
+	Sizing    estimator.Key
+	Continues bool
+
+	output   estimator.Output // as estimated at outputAt; guarded by Scheduler.mu
+	outputAt time.Duration
 }
 
 // Scheduler assigns requests to the upstreams of one region. Set the exported fields before
@@ -116,9 +122,11 @@
 	// DrainTime is the time, from the first answer that says that an upstream is leaving, after which
 	// nothing may reach it. 0: it gets nothing once it said so.
 	DrainTime time.Duration
-	// Adaptive reports whether requests are placed and ordered by expected cost and demand. Nil means that
-	// they are not.
+	// Adaptive reports whether engines are chosen by the expected cost of requests. Nil means that they are not.
 	Adaptive func() bool
+	// FairQueue reports whether requests wait by customer, and are refused by a forecast. Nil means that they are
+	// not.
+	FairQueue func() bool
 	// Random returns a number in [0, n). Nil means the global generator.
 	Random func(n int) int
 
@@ -128,6 +136,7 @@
 	pools           map[string]*pool       // guarded by mu
 	kept            map[string]answerState // of upstreams that are not announced, by name; guarded by mu
 	loadsAt         time.Duration          // when the load of the other hosts was received; guarded by mu
+	expect          expectations           // guarded by mu
 	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
 }
 
@@ -180,25 +189,25 @@
 	// for the shared prefix. PreferredSkipped is the reason why another one was chosen.
 	Preferred        bool
 	PreferredSkipped Reason
+	// Estimate is what the choice rests on in adaptive mode; nil otherwise.
+	Estimate *estimator.Estimate
 
 	scheduler          *Scheduler
 	upstream           *upstream
 	request            *Request
-	reservedAt         time.Duration // time of the reservation
-	uncachedTokens     int64         // prompt tokens that the upstream is assumed to have to read
-	firstTokenReceived bool          // the first token has come
+	reservedAt         time.Duration  // time of the reservation
+	uncachedTokens     int64          // prompt tokens that the upstream is assumed to have to read
+	firstTokenReceived bool           // the first token has come
+	run                *estimator.Run // nil unless it was sent in adaptive mode
+	stride             int            // tokens of an event, if run is set
 }
 
 // Acquire reserves a slot for w, waiting for one if it is expected in time. The error is
 // ErrNoUpstream, a *NoSlotError, or that of ctx.
 func (s *Scheduler) Acquire(ctx context.Context, w *Request) (*Reservation, error) {
-	x, err := s.reserveOrEnqueue(w)
-	if err != nil || x.reservation != nil {
-		return x.heldReservation(), err
-	}
-	limit := s.waitLimit(w)
-	if x.entry != nil {
-		limit = x.waitUntil - s.Timer.Now()
+	x, reservation, limit, err := s.enter(w)
+	if err != nil || reservation != nil {
+		return reservation, err
 	}
 	waitExpired := make(chan struct{})
 	cancel := s.Timer.Once(limit, func() { close(waitExpired) })
@@ -220,11 +229,20 @@
 	return x.reservation, nil // dispatch made the reservation before cancelWait took the lock
 }
 
-func (x *waiter) heldReservation() *Reservation {
-	if x == nil {
-		return nil
+// enter reserves a slot for w, or enqueues it for at most limit. What it returns of the waiter was read under mu,
+// since dispatch may give it a reservation as soon as it waits.
+func (s *Scheduler) enter(w *Request) (x *waiter, reservation *Reservation, limit time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, err = s.reserveOrEnqueue(w)
+	if err != nil {
+		return nil, nil, 0, err
 	}
-	return x.reservation
+	limit = s.waitLimit(w)
+	if x.entry != nil {
+		limit = x.waitUntil - s.Timer.Now()
+	}
+	return x, x.reservation, limit, nil
 }
 
 // waitLimit returns how long a request may wait for a slot.
@@ -233,9 +251,8 @@
 	return min(w.Deadline-now, max(minRetryDelay, time.Duration(float64(w.ObjectiveAt-now)*maxWaitFraction)))
 }
 
+// reserveOrEnqueue reserves a slot for w or enqueues it. The caller holds mu.
 func (s *Scheduler) reserveOrEnqueue(w *Request) (*waiter, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.Timer.Now()
 	p := s.pool(w.Pool)
 	x := &waiter{request: w, enqueuedAt: now, done: make(chan struct{})}
@@ -246,7 +263,7 @@
 		}
 		return nil, ErrNoUpstream
 	}
-	if s.adaptive() {
+	if s.fairQueues() {
 		return s.reserveOrWait(p, x, candidates, now)
 	}
 	if !p.hasMoreUrgent(w) {
@@ -446,6 +463,7 @@
 	p.endTrial()
 	p.upstream.unreadTokens -= p.uncachedTokens
 	p.upstream.learnDelay(p, now-p.reservedAt)
+	s.learnService(p, now)
 	s.pool(p.request.Pool).learnSlowDelay(now - p.reservedAt)
 	s.dispatch(p.request.Pool, now)
 }
@@ -493,6 +511,7 @@
 	if !p.firstTokenReceived {
 		u.unreadTokens -= p.uncachedTokens
 	}
+	p.endRun(o, now)
 	u.recordOutcome(o, now)
 	if o == Answered {
 		p.endTrial()
--- a/internal/scheduler/switch_test.go
+++ b/internal/scheduler/switch_test.go
@@ -50,7 +50,7 @@
 		w := &Request{Pool: "desk", Rank: i % 3, ObjectiveAt: now + time.Duration(100+random.IntN(2000))*time.Millisecond, LateOnArrival: i%7 == 0}
 		if random.IntN(4) > 0 {
 			w.Pool, w.InputTokens, w.OutputTokens = "engine", 800, 100
-			w.Parts = []PromptPart{{fmt.Sprint("shared", random.IntN(9)), 600}, {fmt.Sprint("own", i), 200}}
+			w.Parts = []PromptPart{{ID: fmt.Sprint("shared", random.IntN(9)), Tokens: 600}, {ID: fmt.Sprint("own", i), Tokens: 200}}
 		}
 		w.Deadline = w.ObjectiveAt + 4*time.Second
 		prepare(s, w)
@@ -84,14 +84,14 @@
 	}
 	for name, prepare := range map[string]func(*Scheduler, *Request){
 		"nil":   func(_ *Scheduler, w *Request) { describe(w) },
-		"false": func(s *Scheduler, w *Request) { s.Adaptive = func() bool { return false }; describe(w) },
+		"false": func(s *Scheduler, w *Request) { s.FairQueue = func() bool { return false }; describe(w) },
 	} {
 		if d := cmp.Diff(string(want), decisions(prepare)); d != "" {
-			t.Errorf("Adaptive %s (-want +got):\n%s", name, d)
+			t.Errorf("FairQueue %s (-want +got):\n%s", name, d)
 		}
 	}
-	on := decisions(func(s *Scheduler, w *Request) { s.Adaptive = func() bool { return true } })
+	on := decisions(func(s *Scheduler, w *Request) { s.FairQueue = func() bool { return true } })
 	if on == string(want) {
-		t.Error("the decisions don't depend on Adaptive")
+		t.Error("the decisions don't depend on FairQueue")
 	}
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -75,6 +75,7 @@
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
+	estimates   *scheduler.EstimateMetrics
 	pool        *pooler.Pool
 	bucket      *allocator.Bucket
 	dialer      *dialer.Dialer
@@ -104,7 +105,8 @@
 		return LimitsOf(e.distributor.Current(), customer)
 	}, Adaptive: func() bool { return e.adaptive(e.Table) }}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount,
-		Adaptive: func() bool { return e.adaptive(e.Table) }}
+		Adaptive: func() bool { return e.adaptive(e.Table) }, FairQueue: func() bool { return e.adaptive(e.Table) }}
+	e.estimates = scheduler.NewEstimateMetrics(e.scheduler)
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
 	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log}
@@ -217,7 +219,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.estimates})
 }
 
 // Stopping reports whether the process is shutting down.
