Standing shares hold the requests that tokens are spent on

Cause: hosts reported the average size of a request, which a few large requests among many small ones hardly move; shares that hold only small requests took up to 0.45 of the limits, while 9 of 10 tokens were spent on large ones, which need loans. TestReportedSizeIsThatOfTokensSpent failed before (a size of 2,008 tokens).

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -125,8 +125,8 @@
 	demandTokens float64
 	demandRate   float64
 	averagedAt   time.Duration
-	// averageSize is the moving average of the tokens of a request.
-	averageSize float64
+	// averageSize and averageSquare are moving averages of the tokens of a request and of their square.
+	averageSize, averageSquare float64
 	// usedAt is the time of the last request, or of the last report that expected some.
 	usedAt time.Duration
 }
@@ -146,12 +146,22 @@
 	a.demandTokens += tokens
 	a.usedAt = now
 	if a.averageSize == 0 {
-		a.averageSize = tokens
+		a.averageSize, a.averageSquare = tokens, tokens*tokens
 	}
 	a.averageSize += sizeWeight * (tokens - a.averageSize)
+	a.averageSquare += sizeWeight * (tokens*tokens - a.averageSquare)
 	return a.level, b.spend(customer, a, tokens, now)
 }
 
+// typicalSize returns the average size of the requests that tokens are spent on, each weighted by its tokens. A share
+// that holds only the small requests of a customer whose tokens are spent on large ones would stay unspent.
+func (a *account) typicalSize() float64 {
+	if a.averageSize <= 0 {
+		return 0
+	}
+	return a.averageSquare / a.averageSize
+}
+
 // spend takes tokens from the allotment, or from loans if that does not hold enough.
 func (b *Bucket) spend(customer string, a *account, tokens float64, now time.Duration) error {
 	if a.level+b.SlackTokens*debtFraction/b.sharingHosts() >= tokens {
@@ -366,7 +376,7 @@
 		}
 		d := &schema.Demand{Customer: name, Rate: a.demandRate}
 		if adaptive {
-			d.Size = a.averageSize
+			d.Size = a.typicalSize()
 		}
 		demands = append(demands, d)
 	}
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -950,3 +950,25 @@
 		t.Errorf("%d demands and %d shares reported to the leader", len(p.Demands), len(p.Standing))
 	}
 }
+
+// TestReportedSizeIsThatOfTokensSpent guards against standing shares that only hold the small requests of a customer
+// whose tokens are spent on large ones: they stay unspent, and the large requests are refused for want of loans.
+func TestReportedSizeIsThatOfTokensSpent(t *testing.T) {
+	clock := time.Hour
+	b := &Bucket{
+		Now: func() time.Duration { return clock }, Limits: func(string) (Limits, bool) { return Limits{Rate: 1e6, Burst: 1e6}, true },
+		LoansOnly: true, Adaptive: func() bool { return true },
+	}
+	for i := range 600 {
+		tokens := 1000.0
+		if i%6 == 0 {
+			tokens = 9000
+		}
+		_, _ = b.Take("c", tokens) // without a share every request needs a loan, but counts as demand
+	}
+	clock += time.Second
+	demands, _ := b.Report(nil)
+	if len(demands) != 1 || demands[0].Size < 5000 || demands[0].Size > 9000 {
+		t.Errorf("reported %v, want a size of 5,000 to 9,000: 9,000 of 14,000 tokens are spent on requests of 9,000", demands)
+	}
+}
