Standing shares pay a part of requests that are larger

A request was paid from the share only if that covered it whole, else from a loan: what the share held stayed unspent, and the reserve was too small for the loans. Now the share pays what it holds and only the rest is borrowed. TestShareAndLoanPayTogether.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -174,12 +174,19 @@
 	if now >= a.borrowedUntil {
 		a.borrowed = 0
 	}
-	if a.borrowed >= tokens {
-		a.borrowed -= tokens
+	// What a share holds pays a part of a request that is larger: it would stay unspent, and be missing elsewhere.
+	fromShare := 0.0
+	if b.LoansOnly && a.borrowed < tokens {
+		fromShare = math.Max(0, a.level)
+	}
+	if a.borrowed+fromShare >= tokens {
+		a.level -= fromShare
+		a.borrowed -= tokens - fromShare
+		b.shareStats.SpentTokens += fromShare
 		return nil
 	}
 	return &OverRateError{
-		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - a.borrowed, DemandRate: a.demandRate,
+		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - fromShare - a.borrowed, DemandRate: a.demandRate,
 		Learning: max(0, a.startingUntil-now),
 	}
 }
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -972,3 +972,24 @@
 		t.Errorf("reported %v, want a size of 5,000 to 9,000: 9,000 of 14,000 tokens are spent on requests of 9,000", demands)
 	}
 }
+
+// TestShareAndLoanPayTogether guards against a standing share that stays unspent, and loans that are too small, while
+// requests are larger than what the share holds.
+func TestShareAndLoanPayTogether(t *testing.T) {
+	b := &Bucket{Now: func() time.Duration { return time.Hour }, LoansOnly: true, Limits: func(string) (Limits, bool) { return Limits{Rate: 1e6, Burst: 1e6}, true }}
+	if _, err := b.Take("c", 1); err == nil {
+		t.Fatal("a customer without a share or a loan was charged")
+	}
+	b.customers["c"].level = 6000
+	var over *OverRateError
+	if _, err := b.Take("c", 9000); !errors.As(err, &over) || over.MissingTokens != 3000 {
+		t.Fatalf("%v, want 3,000 missing tokens: the share holds 6,000", err)
+	}
+	b.RecordLoan("c", 3000, 0)
+	if err := b.RetryTake("c", 9000); err != nil {
+		t.Error(err)
+	}
+	if a := b.customers["c"]; a.level != 0 || a.borrowed != 0 || b.shareStats.SpentTokens != 6000 {
+		t.Errorf("%v of the share and %v of the loan are left, %v spent of the share, want 0, 0 and 6,000", a.level, a.borrowed, b.shareStats.SpentTokens)
+	}
+}
