--- a/internal/accepter/conn.go
+++ b/internal/accepter/conn.go
@@ -90,7 +90,7 @@
 	return c.Conn.Write(p)
 }
 
-// beginRead reports whether the connection may be read. It forgets earlier heads once the server waits for the next
+// beginRead reports whether the connection may be read. It discards the counts of earlier heads once the server waits for the next
 // one with an empty buffer.
 func (c *Conn) beginRead(room int) bool {
 	g := c.listener.Gate
--- a/internal/accepter/gate.go
+++ b/internal/accepter/gate.go
@@ -119,7 +119,7 @@
 				return (!listenerSoon || v.listener == l) && (!addressSoon || v.address == c.address && !v.listener.Peers)
 			})
 			if v == nil {
-				g.note(l, reasonRefused)
+				g.recordClosed(l, reasonRefused)
 				return false
 			}
 			g.evict(v, reasonConnections)
@@ -213,7 +213,7 @@
 // giveUp counts what a connection has taken as being returned.
 func (g *Gate) giveUp(c *Conn, reason string) {
 	c.givenUp.Store(true)
-	g.note(c.listener, reason)
+	g.recordClosed(c.listener, reason)
 	g.returning += c.taken
 	g.changed.Broadcast() // it may be waiting for room itself
 }
@@ -260,8 +260,8 @@
 	n.closing -= part.closing
 }
 
-// note counts a connection that is closed, and logs that with the state of the Gate once in logInterval.
-func (g *Gate) note(l *Listener, reason string) {
+// recordClosed counts a connection that is closed, and logs that with the state of the Gate once in logInterval.
+func (g *Gate) recordClosed(l *Listener, reason string) {
 	g.closed.WithLabelValues(reason).Inc()
 	g.unlogged++
 	if g.Timer == nil || g.Timer.Now()-g.loggedAt < logInterval {
--- a/internal/estimator/engine.go
+++ b/internal/estimator/engine.go
@@ -254,7 +254,7 @@
 	return x
 }
 
-// evict forgets shared parts that no request of this host holds, the least recently used first, as the engine does
+// evict removes shared parts that no request of this host holds, the least recently used first, as the engine does
 // when its memory is full.
 func (g *Engine) evict() {
 	for len(g.shared) > maxSharedParts || g.Tokens > 0 && g.sharedTokens+g.OwnHeld()+g.others.Held > g.Tokens {
--- a/internal/forecaster/returns.go
+++ b/internal/forecaster/returns.go
@@ -86,7 +86,7 @@
 	return all
 }
 
-// Remove forgets a request.
+// Remove deletes a request.
 func (r *Returns) Remove(key uint64) {
 	if e := r.entries[key]; e != nil {
 		r.order.Remove(e)
--- a/internal/forwarder/queue.go
+++ b/internal/forwarder/queue.go
@@ -28,8 +28,8 @@
 	return f.Scheduler.FairQueue != nil && f.Scheduler.FairQueue()
 }
 
-// noteForecast records that no slot of this region was forecast in time.
-func (r *Request) noteForecast(err error) {
+// recordForecast records that no slot of this region was forecast in time.
+func (r *Request) recordForecast(err error) {
 	var full *scheduler.NoSlotError
 	r.refusedHere = r.refusedHere || errors.As(err, &full) && full.Forecast != nil
 }
--- a/internal/forwarder/queue_test.go
+++ b/internal/forwarder/queue_test.go
@@ -98,7 +98,7 @@
 			t.Fatal(err)
 		}
 		c.change(r)
-		r.noteForecast(errors.Join(c.err, errors.New("other")))
+		r.recordForecast(errors.Join(c.err, errors.New("other")))
 		got := s.withPromise(r, c.refusal)
 		if promised := got.RetryAfter != c.refusal.RetryAfter; promised != c.promise {
 			t.Errorf("%s: told %v, promised %v", name, got.RetryAfter, promised)
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -37,7 +37,7 @@
 		}
 	}
 	err := f.serveLocally(ctx, r, sink, t, s)
-	r.noteForecast(err)
+	r.recordForecast(err)
 	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
 	noSlot := errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
 	if noSlot && r.reached == 0 && ctx.Err() == nil {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -404,7 +404,7 @@
 		return
 	}
 	var o Forecast
-	var late, hopeless []*sharer.Entry[*waiter]
+	var late, expired []*sharer.Entry[*waiter]
 	for i := range q.queue.Len() {
 		e := q.queue.At(i)
 		if i == 0 || e.Rank != q.queue.At(i-1).Rank { // what becomes free depends on the rank
@@ -413,7 +413,7 @@
 		wait := float64(i+1) / max(o.Rate, 1e-3) * reviewFraction
 		switch {
 		case o.Known && now+timer.Seconds(wait) > e.Value.waitUntil:
-			hopeless = append(hopeless, e)
+			expired = append(expired, e)
 		case !e.Late && !e.Returned && e.Value.request.ObjectiveAt <= now:
 			late = append(late, e)
 		}
@@ -421,7 +421,7 @@
 	for _, e := range late {
 		q.queue.MarkLate(e)
 	}
-	for _, e := range hopeless {
+	for _, e := range expired {
 		q.evict(e, now)
 	}
 }
