Do not order waiting requests by customer yet

After a region was reachable again, returning callers whose objective had passed took places from those that could still be served in time.

--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -105,7 +105,7 @@
 		return LimitsOf(e.distributor.Current(), customer)
 	}, Adaptive: func() bool { return e.adaptive(e.Table) }}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount,
-		Adaptive: func() bool { return e.adaptive(e.Table) }, FairQueue: func() bool { return e.adaptive(e.Table) }}
+		Adaptive: func() bool { return e.adaptive(e.Table) }} // without FairQueue: it served fewer requests in time on a heavy day
 	e.estimates = scheduler.NewEstimateMetrics(e.scheduler)
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
