--- a/internal/allocator/standing.go
+++ b/internal/allocator/standing.go
@@ -239,10 +239,7 @@
 	direct := divided.times((1 - reserved) * (1 - standingFraction) * a.demandFraction(name, customer))
 	left := divided.times(1 - minReserveFraction).minus(a.allotted(customer, name, limits, now)).minus(withheld)
 	permitted := maxStanding(limits).minus(a.totalStanding(customer, name, limits, now)).minus(withheld)
-	// Requests that are large for the customer's burst are paid by loans out of the reserve. Shares that hold none of
-	// them would only make the reserve too small for them.
-	divisible := (1 - reserved) / (1 - minReserveFraction)
-	standing := divide(a.claims(customer, limits, now), divided.times(maxStandingFraction*divisible))[name]
+	standing := divide(a.claims(customer, limits, now), divided.times(maxStandingFraction))[name]
 	standing.rate = math.Min(standing.rate, a.usableRate(name, customer))
 	standing = standing.smaller(permitted).smaller(left).larger(part{})
 	if now-a.startedAt < learnDuration {
