--- a/internal/accepter/listener.go
+++ b/internal/accepter/listener.go
@@ -61,8 +61,9 @@
 type contextKey struct{}
 
 // Attach makes a server tell the state of the connections that it accepts from a Listener. It must be called before
-// the server serves, and after its Handler is set.
+// the server serves, and after its Handler is set. It also applies AllowHeaderValues.
 func Attach(s *http.Server) {
+	AllowHeaderValues(s)
 	handler := s.Handler
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if x, ok := c.(*Conn); ok {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"github.com/trefoilloft/trefoilloft/internal/accepter"
 	"github.com/trefoilloft/trefoilloft/internal/admitter"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
@@ -186,10 +187,12 @@
 }
 
 func (s *Server) newHTTPServer() *http.Server {
-	return &http.Server{
+	h := &http.Server{
 		Handler: s.handler(), ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleConnectionTimeout, ErrorLog: stdlog.New(s.Log, "", 0),
 	}
+	accepter.AllowHeaderValues(h)
+	return h
 }
 
 func (s *Server) serveHTTP(h *http.Server, l net.Listener) error {
