--- a/internal/cataloger/capacity_test.go
+++ b/internal/cataloger/capacity_test.go
@@ -42,3 +42,29 @@
 		t.Errorf("uneven: -want +got\n%s", diff)
 	}
 }
+
+// TestUnevenAtEveryHost guards against hosts that do not learn the capacity of the others: entry hosts follow a control
+// host, which forwards what reports to it to the leader, so that adaptive mode begins at all of them or at none.
+func TestUnevenAtEveryHost(t *testing.T) {
+	clock := &timer.Service{Clock: &timer.ManualClock{}}
+	newTable := func(mirror bool) *Table {
+		x := &Table{Timer: clock, AnnounceInterval: time.Second, IsMirror: mirror}
+		x.Start()
+		return x
+	}
+	control, leader, entry := newTable(false), newTable(false), newTable(true)
+	for i, cores := range []float64{0.144, 0.48} {
+		control.StoreHost(&schema.Peer{Name: fmt.Sprint(i), Incarnation: 1, Number: 1, Capacity: &schema.Capacity{Cores: cores, Link: 10}}, "")
+	}
+	for _, p := range control.ChangesSince(0, 0, "").Hosts {
+		entry.StoreHost(p, "")
+	}
+	_, forwarded := control.ReportsToForward()
+	for _, p := range forwarded {
+		leader.StoreHost(p, "control")
+	}
+	got := map[string]bool{"control": control.Uneven(), "leader": leader.Uneven(), "entry": entry.Uneven()}
+	if diff := cmp.Diff(map[string]bool{"control": true, "leader": true, "entry": true}, got); diff != "" {
+		t.Errorf("uneven: -want +got\n%s", diff)
+	}
+}
--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -483,6 +483,7 @@
 	return &schema.Peer{
 		Name: p.report.Name, Region: p.report.Region, Domain: p.report.Domain, Listen: p.report.Listen, Internal: p.report.Internal,
 		Incarnation: p.report.Incarnation, Number: p.report.Number, Ready: p.report.Ready, Stopping: p.report.Stopping, Age: (now - p.reportedAt).Seconds(),
+		Capacity: p.report.Capacity,
 	}
 }
 
