--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -164,28 +164,33 @@
 
 // spend takes tokens from the allotment, or from loans if that does not hold enough.
 func (b *Bucket) spend(customer string, a *account, tokens float64, now time.Duration) error {
+	fromShare, err := b.pay(customer, a, tokens, now)
+	b.shareStats.SpentTokens += fromShare
+	return err
+}
+
+// pay is spend without the counters: it changes nothing but a. It returns how many tokens came out of a standing share.
+func (b *Bucket) pay(customer string, a *account, tokens float64, now time.Duration) (fromShare float64, err error) {
 	if a.level+b.SlackTokens*debtFraction/b.sharingHosts() >= tokens {
 		a.level -= tokens
 		if b.LoansOnly {
-			b.shareStats.SpentTokens += tokens
+			fromShare = tokens
 		}
-		return nil
+		return fromShare, nil
 	}
 	if now >= a.borrowedUntil {
 		a.borrowed = 0
 	}
 	// What a share holds pays a part of a request that is larger: it would stay unspent, and be missing elsewhere.
-	fromShare := 0.0
 	if b.LoansOnly && a.borrowed < tokens {
 		fromShare = math.Max(0, a.level)
 	}
 	if a.borrowed+fromShare >= tokens {
 		a.level -= fromShare
 		a.borrowed -= tokens - fromShare
-		b.shareStats.SpentTokens += fromShare
-		return nil
+		return fromShare, nil
 	}
-	return &OverRateError{
+	return 0, &OverRateError{
 		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - fromShare - a.borrowed, DemandRate: a.demandRate,
 		Learning: max(0, a.startingUntil-now),
 	}
@@ -398,22 +403,33 @@
 	}
 	a := b.customers[customer]
 	if a == nil {
-		a = &account{filledAt: now, averagedAt: now, usedAt: now}
-		if now-b.reportedAt < idleTimeout && b.adaptive() {
-			// One request in the last milliseconds before a report is not the demand of a busy host.
-			a.averagedAt = b.reportedAt
-		}
-		_, a.level = b.hostLimits(a, limits, now)
-		a.lastRate = limits.Rate
+		a = b.newAccount(limits, now)
 		b.customers[customer] = a
 		return a
 	}
+	b.refresh(a, limits, now)
+	return a
+}
+
+// newAccount returns the account of a customer that has none.
+func (b *Bucket) newAccount(limits Limits, now time.Duration) *account {
+	a := &account{filledAt: now, averagedAt: now, usedAt: now}
+	if now-b.reportedAt < idleTimeout && b.adaptive() {
+		// One request in the last milliseconds before a report is not the demand of a busy host.
+		a.averagedAt = b.reportedAt
+	}
+	_, a.level = b.hostLimits(a, limits, now)
+	a.lastRate = limits.Rate
+	return a
+}
+
+// refresh fills an account up to now.
+func (b *Bucket) refresh(a *account, limits Limits, now time.Duration) {
 	a.fill(b, limits, now)
 	if a.lastRate > limits.Rate && b.adaptive() {
 		a.borrowed *= limits.Rate / a.lastRate
 	}
 	a.lastRate = limits.Rate
-	return a
 }
 
 func (b *Bucket) adaptive() bool { return b.Adaptive != nil && b.Adaptive() }
