--- a/internal/scheduler/expect.go
+++ b/internal/scheduler/expect.go
@@ -285,9 +285,14 @@
 	now := s.Timer.Now()
 	var all []EngineState
 	for _, u := range s.sortedUpstreams {
-		if g := u.engine; g != nil {
-			all = append(all, EngineState{u.announcement.Name, u.announcement.Pool, g.Work(now), g.Held(now), g.Speed.Prefill(1), g.Speed.Step(g.Slots)})
+		if u.engine != nil {
+			all = append(all, engineStateOf(u, now))
 		}
 	}
 	return slices.Clip(all)
 }
+
+func engineStateOf(u *upstream, now time.Duration) EngineState {
+	g := u.engine
+	return EngineState{u.announcement.Name, u.announcement.Pool, g.Work(now), g.Held(now), g.Speed.Prefill(1), g.Speed.Step(g.Slots)}
+}
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -22,21 +22,15 @@
 	c := s.Config()
 	var healthy, unreliable, leaving, unavailable []*upstream
 	for _, u := range s.sortedUpstreams {
-		a := u.announcement
-		if !usable(c, u, w) || u.paused(now) || (w.Software != nil && u.doubtful(now)) {
-			continue
-		}
-		switch {
-		case u.leaving():
-			if s.usableAsLastResort(u, w, now) {
-				leaving = append(leaving, u)
-			}
-		case a.Silent || now < u.bannedUntil:
-			unavailable = append(unavailable, u)
-		case w.Unrepeatable && u.failureRate > maxFailureRate:
-			unreliable = append(unreliable, u)
-		default:
+		switch s.conditionOf(c, u, w, now) {
+		case Healthy:
 			healthy = append(healthy, u)
+		case Unreliable:
+			unreliable = append(unreliable, u)
+		case Leaving:
+			leaving = append(leaving, u)
+		case Unavailable:
+			unavailable = append(unavailable, u)
 		}
 	}
 	switch {
@@ -50,13 +44,82 @@
 	return unavailable
 }
 
+// Condition says in which group of candidates an upstream is for a request, or why it is in none.
+type Condition int
+
+// Conditions of upstreams. The first four are the groups of candidates, the best first.
+const (
+	Healthy     Condition = iota
+	Unreliable            // too high a failure rate for a request that cannot be repeated
+	Leaving               // it may still serve a request of last resort
+	Unavailable           // unresponsive or banned
+	Left                  // it is leaving and may get nothing
+	Paused                // it wants nothing from this host for a while
+	Doubtful              // another process may serve under its name
+	Other                 // it belongs to another pool
+	Avoided               // the request may not run at this process
+	Tried                 // the request has failed there
+	Gone
+	Version // its software has not the version that the request needs
+	Evacuated
+)
+
+var conditionNames = [...]string{
+	"healthy", "unreliable", "leaving", "unavailable", "left", "paused", "doubtful", "other", "avoided", "tried", "gone", "version", "evacuated",
+}
+
+// String returns the name of the condition.
+func (x Condition) String() string { return conditionNames[x] }
+
+// conditionOf returns the condition of an upstream for w.
+func (s *Scheduler) conditionOf(c *configurer.Snapshot, u *upstream, w *Request, now time.Duration) Condition {
+	a := u.announcement
+	if x, unusable := unusable(c, u, w); unusable {
+		return x
+	}
+	switch {
+	case u.paused(now):
+		return Paused
+	case w.Software != nil && u.doubtful(now):
+		return Doubtful
+	case u.leaving() && s.usableAsLastResort(u, w, now):
+		return Leaving
+	case u.leaving():
+		return Left
+	case a.Silent || now < u.bannedUntil:
+		return Unavailable
+	case w.Unrepeatable && u.failureRate > maxFailureRate:
+		return Unreliable
+	}
+	return Healthy
+}
+
 // usable reports whether an upstream may take w at all, whatever its state is now.
 func usable(c *configurer.Snapshot, u *upstream, w *Request) bool {
+	_, unusable := unusable(c, u, w)
+	return !unusable
+}
+
+// unusable reports whether and why an upstream may not take w, whatever its state is now.
+func unusable(c *configurer.Snapshot, u *upstream, w *Request) (Condition, bool) {
 	a := u.announcement
-	if incarnation, avoid := w.Avoid[a.Name]; avoid && incarnation == a.Incarnation {
-		return false
+	if a.Pool != w.Pool {
+		return Other, true
 	}
-	return a.Pool == w.Pool && !a.Gone && !w.Excluded[a.Name] && (w.Software == nil || a.Software == *w.Software) && !c.Evacuated(a.Domain)
+	incarnation, avoid := w.Avoid[a.Name]
+	switch {
+	case avoid && incarnation == a.Incarnation:
+		return Avoided, true
+	case a.Gone:
+		return Gone, true
+	case w.Excluded[a.Name]:
+		return Tried, true
+	case w.Software != nil && a.Software != *w.Software:
+		return Version, true
+	case c.Evacuated(a.Domain):
+		return Evacuated, true
+	}
+	return Healthy, false
 }
 
 // prediction is what a request may expect of one upstream.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -388,8 +388,10 @@
 func (s *Scheduler) PoolUtilization(w *Request) Utilization {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := s.pool(w.Pool).queued()
-	o := Utilization{}
+	o, load := Utilization{}, 0
+	if p := s.pools[w.Pool]; p != nil {
+		load = p.queued()
+	}
 	for _, u := range s.candidates(w, s.Timer.Now()) {
 		load += u.running + u.otherRunning
 		o.Slots += int(u.announcement.Slots)
