--- a/internal/forwarder/assign.go
+++ b/internal/forwarder/assign.go
@@ -55,6 +55,8 @@
 type poolAssignment struct {
 	calibration assigner.Calibration
 	output      *assigner.Output
+	state       *poolState // that output was computed from, with demands as corrected by factor
+	factor      float64
 	computedAt  time.Duration
 	logged      *assigner.Output // as logged last; nil before
 	loggedAt    time.Duration
@@ -153,7 +155,7 @@
 		p.output = assigner.Assign(assigner.Input{
 			Regions: state.regions, Demands: state.demands, Cost: assigner.DefaultCost, Earlier: p.output, Elapsed: elapsed,
 		})
-		p.computedAt = now
+		p.computedAt, p.state, p.factor = now, state, factor
 		if state.asked > 0 {
 			set.pools[name] = p.output
 		}
@@ -340,14 +342,14 @@
 
 // assignedHome returns the region that a request is relayed to first if this region may not serve it; empty if the
 // assignment does not say.
-func (f *Forwarder) assignedHome(o *assigner.Output, r *Request, others []regionLoad) string {
+func (f *Forwarder) assignedHome(o *assigner.Output, r *Request, others []regionLoad, c regionChooser) string {
 	k := assigner.Key{Homes: assigner.HomesKey(r.regions), Caller: f.Region}
-	others = f.responsiveRegions(slices.Clone(others))
+	others = c.responsive(slices.Clone(others))
 	if r.schedulerRequest(nil).SharedReadRatio() > minSharedReadRatio {
 		k.Caller = ""
 		return preferredRegion(r.sharedPrefix(), regionLoad{}, weighted(o, k, others))
 	}
-	return drawRegion(weighted(o, k, others), f.random())
+	return drawRegion(weighted(o, k, others), c.random())
 }
 
 // fullLast returns the regions with those last that the assignment fills while others have room.
--- a/internal/forwarder/authenticate.go
+++ b/internal/forwarder/authenticate.go
@@ -19,29 +19,43 @@
 // identify finds the request's route and customer, and derives its pool, priority, regions
 // and times from them.
 func (f *Forwarder) identify(r *Request) error {
+	x, err := f.findRoute(r)
+	if err != nil {
+		return err
+	}
+	if err := f.authenticate(r, x); err != nil {
+		return err
+	}
+	r.pool = pickPool(r.route, f.random())
+	f.usage.record(r.route.Name)
+	r.describe(x, f.deadlines.elapsed(r.route.Name, r.DeadlineAt-r.ArrivedAt))
+	return nil
+}
+
+// findRoute finds the request's route in the configuration that is in force, which it returns.
+func (f *Forwarder) findRoute(r *Request) (*index, error) {
 	x := f.index.Load()
 	if x == nil || x.snapshot.DocumentNumber() == 0 {
-		return refuse(http.StatusServiceUnavailable, causeNoConfig, startRetryDelay)
+		return nil, refuse(http.StatusServiceUnavailable, causeNoConfig, startRetryDelay)
 	}
 	r.configVersion = x.snapshot.Version
 	r.route = x.route(r.Host, r.Path)
 	if r.route == nil {
-		return f.refuseUnlessStale(refuse(http.StatusNotFound, causeNoRoute, 0))
+		return nil, f.refuseUnlessStale(refuse(http.StatusNotFound, causeNoRoute, 0))
 	}
-	if err := f.authenticate(r, x); err != nil {
-		return err
-	}
-	r.pool = pickPool(r.route, f.random())
+	return x, nil
+}
+
+// describe derives the request's priority, regions and times from its route and customer. Elapsed is the time since the
+// caller's first attempt.
+func (r *Request) describe(x *index, elapsed time.Duration) {
 	r.priority = int(r.route.Priority)
 	if r.customer != nil && r.customer.Priority != nil {
 		r.priority = int(*r.customer.Priority)
 	}
 	r.bind(x, homes(r.route, r.customer))
-	f.usage.record(r.route.Name)
-	elapsed := f.deadlines.elapsed(r.route.Name, r.DeadlineAt-r.ArrivedAt)
 	r.objectiveAt = r.ArrivedAt + seconds(r.route.Objective) - elapsed
 	r.answerUntil = min(r.DeadlineAt, r.ArrivedAt+seconds(r.route.Timeout))
-	return nil
 }
 
 // authenticate finds the customer whose key the request presents. A withdrawn key must stop
--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -26,12 +26,9 @@
 	if r.customer == nil {
 		return nil
 	}
-	tokens := r.customer.Plain
-	if r.TokensStated {
-		tokens = float64(r.InputTokens + r.MaxOutputTokens)
-	}
+	tokens := r.tokens()
 	_, err := f.Bucket.Take(r.customer.Name, tokens)
-	waitUntil := f.Timer.Now() + time.Duration(maxTokenWaitFraction*float64(seconds(r.route.Objective)))
+	waitUntil := f.Timer.Now() + r.tokenWait()
 	for err != nil {
 		var over *allocator.OverRateError
 		if !errors.As(err, &over) {
@@ -49,6 +46,27 @@
 	return nil
 }
 
+// tokens returns the number of tokens that the request's customer is charged.
+func (r *Request) tokens() float64 {
+	if r.TokensStated {
+		return float64(r.InputTokens + r.MaxOutputTokens)
+	}
+	return r.customer.Plain
+}
+
+// tokenWait returns the longest time that the request waits for tokens.
+func (r *Request) tokenWait() time.Duration {
+	return time.Duration(maxTokenWaitFraction * float64(seconds(r.route.Objective)))
+}
+
+// refuseOver returns the error for tokens that cannot be available within remaining, nil if they may be.
+func refuseOver(over *allocator.OverRateError, remaining time.Duration) error {
+	if over.RetryAfter > remaining || remaining <= 0 {
+		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval), Learning: over.Learning}
+	}
+	return nil
+}
+
 // borrowAhead borrows tokens for requests to come, so that these need not wait for a
 // control host's reply.
 func (f *Forwarder) borrowAhead(customer string, maxTokens float64) {
@@ -65,9 +83,8 @@
 // borrow asks a control host once, or waits until it may be asked again. It returns an error
 // if the tokens cannot be available by waitUntil.
 func (f *Forwarder) borrow(ctx context.Context, r *Request, over *allocator.OverRateError, waitUntil time.Duration) error {
-	remaining := waitUntil - f.Timer.Now()
-	if over.RetryAfter > remaining || remaining <= 0 {
-		return &allocator.OverRateError{Customer: over.Customer, RetryAfter: max(over.RetryAfter, minBorrowInterval), Learning: over.Learning}
+	if err := refuseOver(over, waitUntil-f.Timer.Now()); err != nil {
+		return err
 	}
 	if over.RetryAfter > 0 {
 		return f.Timer.Sleep(ctx, max(over.RetryAfter, minBorrowInterval))
--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -16,6 +16,7 @@
 //	budget        limit retries
 //	stream        forward events as they arrive, and resume at another upstream
 //	relay         serve through an entry host of another region
+//	explain       tell an operator where a request would go, and why
 //	refusal       tell a caller why there is no response
 //
 // The interface to callers passes Requests with a Sink; the protocol of upstreams is a Protocol.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -81,6 +81,7 @@
 	index         atomic.Pointer[index]
 	mu            sync.Mutex
 	regionDigests []*schema.RegionDigest // guarded by mu
+	digestsAt     time.Duration          // when they were received; guarded by mu
 	deadlines     deadlineHistory
 	monitor       regionMonitor
 	stop          stopState
@@ -102,7 +103,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.regionDigests = d
+	f.regionDigests, f.digestsAt = d, f.Timer.Now()
 }
 
 func (f *Forwarder) digests() []*schema.RegionDigest {
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -186,10 +186,15 @@
 // empty if there is none. A request that no slot was forecast for here is not passed to full regions, unless
 // it was refused before.
 func (f *Forwarder) nextRegion(r *Request, asked map[string]bool) string {
+	return f.chooseNext(r, asked, f.chooser())
+}
+
+// chooseNext is nextRegion with a chooser.
+func (f *Forwarder) chooseNext(r *Request, asked map[string]bool, c regionChooser) string {
 	others := f.otherRegions(r)
 	if o := f.assignment(r.pool); o != nil && !r.relayed {
 		if len(asked) == 0 && !r.allows(f.Region) {
-			if region := f.assignedHome(o, r, others); region != "" {
+			if region := f.assignedHome(o, r, others, c); region != "" {
 				return region
 			}
 		}
--- a/internal/forwarder/offload.go
+++ b/internal/forwarder/offload.go
@@ -24,19 +24,35 @@
 	minOffloadObjective = 400 * time.Millisecond
 )
 
+// regionChooser holds what changes state when a region is chosen.
+type regionChooser struct {
+	// random returns a number in [0, 1).
+	random func() float64
+	// responsive removes unresponsive regions from a list, which it may change.
+	responsive func([]regionLoad) []regionLoad
+}
+
+// chooser returns the chooser for requests.
+func (f *Forwarder) chooser() regionChooser {
+	return regionChooser{random: f.random, responsive: f.responsiveRegions}
+}
+
 // offloadRegion returns the region to which a request is offloaded although this region may
 // serve it; empty if it stays. Requests with a long shared prefix go to the region that has
 // it in its caches, whichever region their callers use; others leave loaded regions only.
-func (f *Forwarder) offloadRegion(r *Request) string {
+func (f *Forwarder) offloadRegion(r *Request) string { return f.chooseRegion(r, f.chooser()) }
+
+// chooseRegion is offloadRegion with a chooser.
+func (f *Forwarder) chooseRegion(r *Request, c regionChooser) string {
 	if r.relayed || seconds(r.route.Objective) < minOffloadObjective {
 		return ""
 	}
 	w := r.schedulerRequest(nil)
 	utilization := f.Scheduler.PoolUtilization(w)
 	here := regionLoad{f.Region, utilization.UsedFraction, float64(utilization.Slots)}
-	others := f.responsiveRegions(f.otherRegions(r))
+	others := c.responsive(f.otherRegions(r))
 	if o := f.assignment(r.pool); o != nil {
-		return assignedRegion(o, r, w.SharedReadRatio() > minSharedReadRatio, here, others, f.random)
+		return assignedRegion(o, r, w.SharedReadRatio() > minSharedReadRatio, here, others, c.random)
 	}
 	if w.SharedReadRatio() > minSharedReadRatio {
 		return preferredRegion(r.sharedPrefix(), here, others)
@@ -44,7 +60,7 @@
 	if here.load < minOffloadLoad {
 		return ""
 	}
-	return pickOffloadRegion(here.load, others, f.random())
+	return pickOffloadRegion(here.load, others, c.random())
 }
 
 // preferredRegion returns the region that all hosts choose for a shared prefix, by a
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -39,8 +39,7 @@
 	err := f.serveLocally(ctx, r, sink, t, s)
 	r.recordForecast(err)
 	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
-	noSlot := errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
-	if noSlot && r.reached == 0 && ctx.Err() == nil {
+	if hasNoSlot(err) && r.reached == 0 && ctx.Err() == nil {
 		err = f.serveRemotely(ctx, r, sink, t, err)
 	}
 	if noUpstream && r.reached == 0 && isNotServed(err) && ctx.Err() == nil {
@@ -49,6 +48,11 @@
 	return err
 }
 
+// hasNoSlot reports whether err means that this region has no slot for a request, which is then relayed.
+func hasNoSlot(err error) bool {
+	return errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
+}
+
 // serveAsLastResort sends a request that nothing else serves to an upstream of this region that is leaving.
 // If there is none that still takes it, it returns reason.
 func (f *Forwarder) serveAsLastResort(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState, reason error) error {
--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -80,15 +80,23 @@
 	if at == 0 {
 		return nil
 	}
-	now, late := f.Timer.Now(), f.endsAfterProcess(r)
-	t.logStopping(!late, f.expectedEnd(r)-now, at-now)
-	if late {
-		return refuse(http.StatusServiceUnavailable, causeStopping, f.stoppingDelay(now, at))
+	now, refusal := f.Timer.Now(), f.refuseStopping(r)
+	t.logStopping(refusal == nil, f.expectedEnd(r)-now, at-now)
+	if refusal != nil {
+		return refusal
 	}
 	r.answerUntil = min(r.answerUntil, at)
 	return nil
 }
 
+// refuseStopping returns the refusal of a request that would outlast the process; nil if it would not.
+func (f *Forwarder) refuseStopping(r *Request) *Refusal {
+	if !f.endsAfterProcess(r) {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, causeStopping, f.stoppingDelay(f.Timer.Now(), time.Duration(f.stop.processEndAt.Load())))
+}
+
 // stoppingDelay returns the time after which a request that a stopping host refuses may be served: by
 // another host of the region, or once the process has ended, when callers are sent elsewhere.
 func (f *Forwarder) stoppingDelay(now, processEndAt time.Duration) time.Duration {
--- a/internal/scheduler/explain_test.go
+++ b/internal/scheduler/explain_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,6 +168,36 @@
 	}
 }
 
+// TestExplainWhilePlacing guards, with the race detector, against an explanation that reads state without the lock while
+// requests are placed and end.
+func TestExplainWhilePlacing(t *testing.T) {
+	s := loaded(t, true)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := range 100 {
+				if p := s.reserveLocked(s.explainable(fmt.Sprint("subject", i))); p != nil {
+					p.RecordEvents(1)
+					p.RecordFirstToken()
+					p.Release(Answered)
+				}
+				if n%10 == 0 {
+					s.Explain(s.explainable("subject1"))
+					s.UpstreamStates()
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// reserveLocked is reserveNow for concurrent callers.
+func (s *Scheduler) reserveLocked(w *Request) *Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reserveNow(w)
+}
+
 // BenchmarkExplain measures an explanation among 250 engines, of which none but one has a free slot in the second case.
 func BenchmarkExplain(b *testing.B) {
 	for _, running := range []int32{4, 16} {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -155,6 +155,7 @@
 		return errors.Join(err, l.Close())
 	}
 	schema.RegisterRelayServiceServer(grpcServer, &forwarder.RelayService{Forwarder: e.Forwarder})
+	schema.RegisterExplainServiceServer(grpcServer, &forwarder.ExplainService{Forwarder: e.Forwarder})
 	servers, err := listenThrough(e.gate, e.Listeners(e), e.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
