--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -56,6 +56,9 @@
 	if len(args) > 0 && args[0] == traceCommand {
 		return traceRequest(args[1:], stdout, stderr)
 	}
+	if len(args) > 0 && args[0] == explainCommand {
+		return explain(args[1:], stdout, stderr)
+	}
 	app := kingpin.New("trefoilctl", "The operators' command-line client.")
 	app.UsageWriter(stdout).ErrorWriter(stderr)
 	o := &operator{stdout: stdout, stderr: stderr}
--- a/internal/forwarder/explain.go
+++ b/internal/forwarder/explain.go
@@ -149,7 +149,7 @@
 	for _, x := range []struct {
 		name  string
 		value int64
-	}{{"input", m.Input}, {"output", m.Output}, {"hint", m.Hint}} {
+	}{{"input", m.Input}, {"max", m.Output}, {"hint", m.Hint}} {
 		if x.value < 0 || x.value > estimator.MaxTokens {
 			return invalidArgument(x.name, "%d is not a number of tokens", x.value)
 		}
--- a/internal/scheduler/expect.go
+++ b/internal/scheduler/expect.go
@@ -69,13 +69,20 @@
 // engineOf returns the estimates of an engine's process.
 func (s *Scheduler) engineOf(u *upstream, engine *schema.Engine) *estimator.Engine {
 	if u.engine == nil {
-		u.engine = &estimator.Engine{Speed: estimator.Speed{Pool: s.expect.speed(u.announcement.Pool)}}
-		u.engine.SetOthers(u.others)
+		u.engine = u.newEngine(s.expect.speed(u.announcement.Pool))
 	}
 	u.engine.Slots, u.engine.Tokens, u.engine.Stride = int(engine.Slots), engine.Tokens, int(engine.Stride)
 	return u.engine
 }
 
+// newEngine returns the estimates of a process that was not chosen among yet. Pool is the speed of its pool; nil if nothing
+// is known of that.
+func (u *upstream) newEngine(pool *estimator.Speed) *estimator.Engine {
+	g := &estimator.Engine{Speed: estimator.Speed{Pool: pool}}
+	g.SetOthers(u.others)
+	return g
+}
+
 // expectedOutput returns what is expected of the answer's length.
 func (s *Scheduler) expectedOutput(w *Request, now time.Duration) estimator.Output {
 	if w.output.Max == 0 || w.outputAt != now {
@@ -286,13 +293,12 @@
 	var all []EngineState
 	for _, u := range s.sortedUpstreams {
 		if u.engine != nil {
-			all = append(all, engineStateOf(u, now))
+			all = append(all, u.engineState(u.engine, now))
 		}
 	}
 	return slices.Clip(all)
 }
 
-func engineStateOf(u *upstream, now time.Duration) EngineState {
-	g := u.engine
+func (u *upstream) engineState(g *estimator.Engine, now time.Duration) EngineState {
 	return EngineState{u.announcement.Name, u.announcement.Pool, g.Work(now), g.Held(now), g.Speed.Prefill(1), g.Speed.Step(g.Slots)}
 }
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -63,7 +63,7 @@
 	Age time.Duration
 	// Memory is the number of tokens that an engine's memory holds; 0: not stated.
 	Memory int64
-	// Engine holds the estimates of an engine; nil unless it was chosen among in adaptive mode.
+	// Engine holds the estimates of an engine; nil unless in adaptive mode.
 	Engine *EngineState
 }
 
@@ -205,12 +205,18 @@
 // stateOf returns the state of an upstream for w. The caller holds mu.
 func (s *Scheduler) stateOf(u *upstream, w *Request, now time.Duration) UpstreamState {
 	a := u.announcement
+	engine := s.Config().Pool(a.Pool).GetEngine()
 	x := UpstreamState{
 		Name: a.Name, Pool: a.Pool, Condition: s.conditionOf(s.Config(), u, w, now), Slots: int(a.Slots), Running: u.running, Others: u.otherRunning,
-		Age: timer.Seconds(a.Age), Memory: s.Config().Pool(a.Pool).GetEngine().GetTokens(),
+		Age: timer.Seconds(a.Age), Memory: engine.GetTokens(),
 	}
-	if u.engine != nil {
-		e := engineStateOf(u, now)
+	g := u.engine
+	if engine != nil && g == nil && s.Adaptive != nil && s.Adaptive() {
+		g = u.newEngine(s.expect.speeds[a.Pool])
+		g.Slots, g.Tokens, g.Stride = int(engine.Slots), engine.Tokens, int(engine.Stride)
+	}
+	if g != nil {
+		e := u.engineState(g, now)
 		x.Engine = &e
 	}
 	return x
