--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
@@ -154,8 +155,7 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
-	schema.RegisterRelayServiceServer(grpcServer, &forwarder.RelayService{Forwarder: e.Forwarder})
-	schema.RegisterExplainServiceServer(grpcServer, &forwarder.ExplainService{Forwarder: e.Forwarder})
+	e.register(grpcServer)
 	servers, err := listenThrough(e.gate, e.Listeners(e), e.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
@@ -191,6 +191,12 @@
 	return err
 }
 
+// register registers the services of the internal listener, for other hosts and for operators.
+func (e *Entry) register(s grpc.ServiceRegistrar) {
+	schema.RegisterRelayServiceServer(s, &forwarder.RelayService{Forwarder: e.Forwarder})
+	schema.RegisterExplainServiceServer(s, &forwarder.ExplainService{Forwarder: e.Forwarder})
+}
+
 // waitForStop waits until ctx ends. Then it waits until every request has ended,
 // minStopDuration has passed and another host of the region is ready to serve callers, but no
 // longer than until graceMargin before the end of the grace period. It returns that time.
