--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -102,7 +102,7 @@
 	settings := writeFile(t, "hosts.yaml", fmt.Sprintf("secret: %s\nentries: [{name: a1, address: %q}]\n", testSecret, h.start(t)))
 	for _, format := range []string{"table", "json"} {
 		var got strings.Builder
-		for _, name := range []string{"prefix", "prefix-adaptive", "bound-adaptive", "split", "over"} {
+		for _, name := range []string{"prefix", "prefix-adaptive", "bound-adaptive", "full", "split", "over"} {
 			h.reply = readReply[schema.ExplainReply](t, name)
 			code, stdout, stderr := runOperator("explain", "--settings", settings, "--output", format, "--route", "chat")
 			fmt.Fprintf(&got, "explain %s: exit status %d\n%s%s\n", name, code, stdout, stderr)
--- a/internal/command/explaintable.go
+++ b/internal/command/explaintable.go
@@ -128,7 +128,6 @@
 }
 
 func outcomeText(o *schema.ExplainedOutcome) string {
-	refused := fmt.Sprintf("refused with %d (%s), Retry-After %.3fs", o.Status, o.Cause, o.Retry)
 	switch o.Kind {
 	case "sent":
 		return "sent to " + o.Upstream
@@ -136,12 +135,12 @@
 		return fmt.Sprintf("waits for a slot, %.3fs expected, at most %.3fs", o.Wait, o.Limit)
 	case "passed":
 		text := "passed to " + strings.Join(o.Regions, ", then ")
-		if o.Status != 0 {
-			text += "; if none of them takes it, " + refused
+		if o.Otherwise != nil {
+			text += "; if not taken there, " + outcomeText(o.Otherwise)
 		}
 		return text
 	}
-	return refused
+	return fmt.Sprintf("refused with %d (%s), Retry-After %.3fs", o.Status, o.Cause, o.Retry)
 }
 
 func ageText(seconds float64) string {
--- a/internal/forwarder/explain.go
+++ b/internal/forwarder/explain.go
@@ -312,16 +312,17 @@
 	}
 	o := f.Scheduler.Explain(r.schedulerRequest(nil))
 	p.Outcome = f.localOutcome(r, o)
-	if likeliest != "" {
-		p.Outcome = &schema.ExplainedOutcome{Kind: outcomePassed, Regions: []string{likeliest}}
-	}
 	if errors.Is(o.Err, scheduler.ErrNoUpstream) && p.Outcome.Kind == outcomeRefused {
-		r.lastResort = true
-		if last := f.Scheduler.Explain(r.schedulerRequest(nil)); !errors.Is(last.Err, scheduler.ErrNoUpstream) {
+		x := *r
+		x.lastResort = true
+		if last := f.Scheduler.Explain(x.schedulerRequest(nil)); !errors.Is(last.Err, scheduler.ErrNoUpstream) {
 			o = last
-			p.Outcome = f.localOutcome(r, o)
+			p.Outcome = f.localOutcome(&x, o)
 		}
 	}
+	if likeliest != "" {
+		p.Outcome = &schema.ExplainedOutcome{Kind: outcomePassed, Regions: []string{likeliest}, Otherwise: p.Outcome}
+	}
 	p.Waiting, p.Ordered = int32(o.Waiting), o.Ordered
 	p.Upstreams = explainUpstreams(o)
 	return p
@@ -341,7 +342,7 @@
 // passedOr returns the outcome of a request that has no slot here: the regions that are asked in turn, and the refusal err
 // if none of them takes it.
 func (f *Forwarder) passedOr(r *Request, err error) *schema.ExplainedOutcome {
-	x := refusedOutcome(err)
+	var regions []string
 	asked := map[string]bool{}
 	for c := f.dryChooser(0.5, rand.New(rand.NewPCG(1, 1))); ; {
 		region := f.chooseNext(r, asked, c)
@@ -350,13 +351,14 @@
 		}
 		asked[region] = true
 		if f.canRelay(r, region) {
-			x.Regions = append(x.Regions, region)
+			regions = append(regions, region)
 		}
 	}
-	if len(x.Regions) > 0 {
-		x.Kind = outcomePassed
+	refused := refusedOutcome(err)
+	if len(regions) == 0 {
+		return refused
 	}
-	return x
+	return &schema.ExplainedOutcome{Kind: outcomePassed, Regions: regions, Otherwise: refused}
 }
 
 func refusedOutcome(err error) *schema.ExplainedOutcome {
--- a/internal/forwarder/explain_test.go
+++ b/internal/forwarder/explain_test.go
@@ -95,6 +95,15 @@
 	return f
 }
 
+// newExplainedFor is newExplained for a request of explainedRequests: for one of them all slots of the region are taken.
+func newExplainedFor(name string, adaptive bool) *Forwarder {
+	f := newExplained(adaptive)
+	if name == "full" {
+		f.Scheduler.UpdateOtherLoads([]*schema.PoolLoad{{Pool: "engine", Running: map[string]int32{"e0": 10, "e1": 9, "e2": 10}}})
+	}
+	return f
+}
+
 // explainedRequests are requests to explain, by the name of their golden file.
 func explainedRequests() map[string]*schema.ExplainRequest {
 	chat := func(route string, input int64) *schema.ExplainRequest {
@@ -105,10 +114,12 @@
 	}
 	large, over := chat("chat", 150_000), chat("chat", 700)
 	over.Customer = "over"
+	elsewhere := chat("chat", 6_400)
+	elsewhere.Parts[0].Id, elsewhere.Hint = "system1", 20
 	byPath := &schema.ExplainRequest{Name: "h", Path: "/split/x?q", Customer: "c", Elapsed: 0.5, Left: 4, Host: "a1", Region: "a"}
 	short := chat("chat", 100)
 	short.Parts = short.Parts[1:]
-	return map[string]*schema.ExplainRequest{"prefix": chat("chat", 700), "plain": short, "bound": chat("bound", 700), "large": large, "over": over, "split": byPath}
+	return map[string]*schema.ExplainRequest{"prefix": chat("chat", 700), "plain": short, "bound": chat("bound", 700), "large": large, "elsewhere": elsewhere, "full": short, "over": over, "split": byPath}
 }
 
 // TestExplanations guards against an explanation that leaves out or changes what decides: estimates, reasons, regions,
@@ -116,7 +127,7 @@
 func TestExplanations(t *testing.T) {
 	for _, adaptive := range []bool{false, true} {
 		for name, m := range explainedRequests() {
-			reply, err := newExplained(adaptive).Explain(m)
+			reply, err := newExplainedFor(name, adaptive).Explain(m)
 			if err != nil {
 				t.Fatalf("%s: %v", name, err)
 			}
@@ -189,7 +200,7 @@
 func TestExplainedRequestIsServedSo(t *testing.T) {
 	for _, adaptive := range []bool{false, true} {
 		for name, m := range explainedRequests() {
-			f := newExplained(adaptive)
+			f := newExplainedFor(name, adaptive)
 			f.Random = func() float64 { return 0.4 }
 			reply, err := f.Explain(m)
 			if err != nil {
@@ -231,6 +242,9 @@
 				t.Errorf("%s, adaptive %v: goes to region %q, to which the explanation gives no chance: %v", name, adaptive, region, p.Regions)
 			}
 			if region != "" {
+				if chance == 1 && (p.Outcome.Kind != outcomePassed || p.Outcome.Regions[0] != region) {
+					t.Errorf("%s, adaptive %v: passed to %s, explained %v", name, adaptive, region, p.Outcome)
+				}
 				continue
 			}
 			reservation, err := f.Scheduler.Acquire(context.Background(), r.schedulerRequest(nil))
