--- a/internal/scheduler/expect.go
+++ b/internal/scheduler/expect.go
@@ -69,13 +69,20 @@
 // engineOf returns the estimates of an engine's process.
 func (s *Scheduler) engineOf(u *upstream, engine *schema.Engine) *estimator.Engine {
 	if u.engine == nil {
-		u.engine = &estimator.Engine{Speed: estimator.Speed{Pool: s.expect.speed(u.announcement.Pool)}}
-		u.engine.SetOthers(u.others)
+		u.engine = u.newEngine(s.expect.speed(u.announcement.Pool))
 	}
 	u.engine.Slots, u.engine.Tokens, u.engine.Stride = int(engine.Slots), engine.Tokens, int(engine.Stride)
 	return u.engine
 }
 
+// newEngine returns the estimates of a process that was not chosen among yet. Pool is the speed of its pool; nil if nothing
+// is known of that.
+func (u *upstream) newEngine(pool *estimator.Speed) *estimator.Engine {
+	g := &estimator.Engine{Speed: estimator.Speed{Pool: pool}}
+	g.SetOthers(u.others)
+	return g
+}
+
 // expectedOutput returns what is expected of the answer's length.
 func (s *Scheduler) expectedOutput(w *Request, now time.Duration) estimator.Output {
 	if w.output.Max == 0 || w.outputAt != now {
@@ -285,9 +292,13 @@
 	now := s.Timer.Now()
 	var all []EngineState
 	for _, u := range s.sortedUpstreams {
-		if g := u.engine; g != nil {
-			all = append(all, EngineState{u.announcement.Name, u.announcement.Pool, g.Work(now), g.Held(now), g.Speed.Prefill(1), g.Speed.Step(g.Slots)})
+		if u.engine != nil {
+			all = append(all, u.engineState(u.engine, now))
 		}
 	}
 	return slices.Clip(all)
 }
+
+func (u *upstream) engineState(g *estimator.Engine, now time.Duration) EngineState {
+	return EngineState{u.announcement.Name, u.announcement.Pool, g.Work(now), g.Held(now), g.Speed.Prefill(1), g.Speed.Step(g.Slots)}
+}
