--- a/internal/accepter/accepter_test.go
+++ b/internal/accepter/accepter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -65,12 +66,14 @@
 	begun    chan string   // paths of requests that run
 }
 
-func newRig(t *testing.T, maxConns int, budget int64) *rig {
+func newRig(t *testing.T, maxConns int, budget int64) *rig { return startRig(t, maxConns, budget, nil) }
+
+func startRig(t *testing.T, maxConns int, budget int64, config *tls.Config) *rig {
 	clock := &timer.Service{Clock: &timer.ManualClock{}}
 	r := &rig{t: t, clock: clock, pipes: newPipes(), held: make(chan struct{}), begun: make(chan string, 100)}
 	r.letEnd = sync.OnceFunc(func() { close(r.held) })
 	r.gate = &Gate{MaxConns: maxConns, Budget: &bufferer.Budget{Max: budget}, Timer: clock}
-	r.listener = &Listener{Listener: r.pipes, Gate: r.gate, Name: "test"}
+	r.listener = &Listener{Listener: r.pipes, Gate: r.gate, Name: "test", TLS: config}
 	s := &http.Server{MaxHeaderBytes: 32 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.begun <- q.URL.Path
 		if strings.HasPrefix(q.URL.Path, "/held") {
--- a/internal/accepter/conn.go
+++ b/internal/accepter/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -40,6 +42,9 @@
 	serverBuffer = 4 << 10
 	// Number of buffered bytes that count as none: at most a byte that net/http reads while a handler runs.
 	minBuffered = 16
+	// answerTimeout is the time that the answer to a refused head may take with TLS. What the head holds is not
+	// returned before.
+	answerTimeout = 100 * time.Millisecond
 	// untrustedBytes is what a host may send until it has shown the secret: the preface, settings and the head
 	// of the first call, of which the server reads 32 KB at a time.
 	untrustedBytes = 64 << 10
@@ -50,17 +55,19 @@
 	net.Conn
 	listener *Listener
 	address  netip.Addr
-	givenUp  atomic.Bool // closed, or will be: the server may write no more
+	secured  *handshakeConn // below TLS; nil without TLS
+	givenUp  atomic.Bool    // closed, or will be: the server may write no more
 
 	// Guarded by Gate.mu.
 	phase          phase
-	previous, next *Conn // in the list of the phase
-	fields         int   // lines of the head
-	charge         int64 // for the head
-	taken          int64 // of charge, from the Budget
-	untrusted      int   // bytes read before the secret was shown
-	serverClosed   bool  // the server has closed the connection
-	deadlines      int   // read deadlines set since the last response
+	previous, next *Conn  // in the list of the phase
+	fields         int    // lines of the head
+	charge         int64  // for the head
+	taken          int64  // of charge, from the Budget
+	untrusted      int    // bytes read before the secret was shown
+	unsent         string // answer to be written through TLS once Gate.mu is released
+	serverClosed   bool   // the server has closed the connection
+	deadlines      int    // read deadlines set since the last response
 	// Bytes and lines of the last reads, at least serverBuffer bytes together: what may be left in the server's buffer.
 	last, before tally
 }
@@ -75,13 +82,40 @@
 	if !c.beginRead(len(p)) {
 		return 0, refusal // net/http may read again after an error
 	}
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.account(p[:n]) {
+		c.sendUnsent()
 		return 0, refusal
 	}
 	return n, err
 }
 
+// handshake does the handshake of TLS before the first read. The read deadline applies to it.
+func (c *Conn) handshake() error {
+	t, ok := c.Conn.(*tls.Conn)
+	if !ok || c.secured == nil || c.secured.ended {
+		return nil
+	}
+	err := t.Handshake()
+	c.secured.ended = err == nil
+	return err
+}
+
+// sendUnsent writes the answer of a refused connection with TLS, which may wait for the caller.
+func (c *Conn) sendUnsent() {
+	g := c.listener.Gate
+	g.mu.Lock()
+	answer := c.unsent
+	c.unsent = ""
+	g.mu.Unlock()
+	if answer != "" && c.Conn.SetWriteDeadline(time.Now().Add(answerTimeout)) == nil {
+		_, _ = io.WriteString(c.Conn, answer) // a caller that does not read gets no answer
+	}
+}
+
 // Write writes what the server sends. It fails once the connection is refused: its caller has the answer.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.givenUp.Load() {
@@ -177,7 +211,7 @@
 		return true
 	}
 	c.listener.Gate.beginClosing(c, reasonUntrusted)
-	_ = c.Conn.Close()
+	_ = c.wire().Close()
 	return false
 }
 
@@ -185,8 +219,12 @@
 func (c *Conn) refuse(answer, reason string) {
 	g := c.listener.Gate
 	g.giveUp(c, reason)
-	c.writeAnswer(answer)
 	g.enter(c, lingering)
+	if c.secured != nil {
+		c.unsent = answer
+		return
+	}
+	c.writeAnswer(answer)
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite()
 	}
@@ -194,29 +232,47 @@
 
 // Close closes the connection. One that was refused stays open for lingerTime, but holds no memory any more.
 func (c *Conn) Close() error {
+	if c.beginLinger() {
+		return nil
+	}
+	err := c.Conn.Close() // TLS may wait for the caller here
+	c.listener.Gate.mu.Lock()
+	defer c.listener.Gate.mu.Unlock()
+	c.listener.Gate.release(c)
+	return err
+}
+
+// beginLinger reports whether the connection stays open for lingerTime, as its server closes it after a refusal.
+func (c *Conn) beginLinger() bool {
 	g := c.listener.Gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.phase == lingering && g.Timer != nil {
-		if !c.serverClosed {
-			c.serverClosed = true
-			g.refund(c)
-			g.Timer.Once(lingerTime, c.endLinger)
-		}
-		return nil
+	if c.phase != lingering || g.Timer == nil {
+		return false
 	}
-	err := c.Conn.Close()
-	g.release(c)
-	return err
+	if !c.serverClosed {
+		c.serverClosed = true
+		g.refund(c)
+		g.Timer.Once(lingerTime, c.endLinger)
+	}
+	return true
 }
 
 func (c *Conn) endLinger() {
 	c.listener.Gate.mu.Lock()
 	defer c.listener.Gate.mu.Unlock()
-	_ = c.Conn.Close()
+	_ = c.wire().Close()
 	c.listener.Gate.release(c)
 }
 
+// wire returns the connection below TLS. The Gate closes that: to close TLS may wait for the caller.
+func (c *Conn) wire() net.Conn {
+	if c.secured != nil {
+		return c.secured.Conn
+	}
+	return c.Conn
+}
+
 // setState follows the state that net/http gives the connection.
 func (c *Conn) setState(state http.ConnState) {
 	g := c.listener.Gate
@@ -270,7 +326,7 @@
 
 // SetLinger sets what happens to unsent data when a TCP connection is closed.
 func (c *Conn) SetLinger(seconds int) error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.wire().(*net.TCPConn); ok {
 		return t.SetLinger(seconds)
 	}
 	return nil
@@ -316,7 +372,7 @@
 		strconv.Itoa(len(text)+1) + "\r\n\r\n" + text + "\n"
 }
 
-// writeAnswer writes an answer if that is possible without waiting.
+// writeAnswer writes an answer if that is possible without waiting, which it is not with TLS.
 func (c *Conn) writeAnswer(answer string) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
--- a/internal/accepter/gate.go
+++ b/internal/accepter/gate.go
@@ -191,7 +191,7 @@
 	if wasReading && !c.listener.Peers {
 		c.writeAnswer(answerNoRoom)
 	}
-	_ = c.Conn.Close()
+	_ = c.wire().Close()
 	if c.serverClosed {
 		g.release(c) // its server did so before; it lingered
 	}
--- a/internal/accepter/listener.go
+++ b/internal/accepter/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,9 @@
 	Name string
 	// Peers means that other hosts connect, which show a secret: see Trust.
 	Peers bool
+	// TLS is the configuration of a listener whose connections are encrypted; nil: they are not. What is counted is
+	// what callers send through TLS. The server must not use TLS itself.
+	TLS *tls.Config
 
 	count  count // guarded by Gate.mu
 	closed bool  // guarded by Gate.mu
@@ -30,6 +34,10 @@
 			return nil, err
 		}
 		c := &Conn{Conn: raw, listener: l, address: addressOf(raw)}
+		if l.TLS != nil {
+			c.secured = &handshakeConn{Conn: raw}
+			c.Conn = tls.Server(c.secured, l.TLS)
+		}
 		if l.Gate.admit(c) {
 			return c, nil
 		}
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/trefoilloft/trefoilloft/internal/accepter"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
@@ -144,8 +145,9 @@
 	clock := newClock(log)
 	dial := &dialer.Dialer{Secret: settings.Secret, MutualTLS: settings.Mutual, Timer: clock}
 	defer dial.Close()
-	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Log: log, FaultPoints: injector.FromEnvironment()}
-	return runUntilSignal(settings, clock, s.Run, s.Collectors)
+	gate := newGate(clock, log)
+	s := &server.Server{Settings: settings, Timer: clock, Dialer: dial, Gate: gate, Log: log, FaultPoints: injector.FromEnvironment()}
+	return runUntilSignal(settings, clock, gate, s.Run, s.Collectors)
 }
 
 // runControl runs a control host until SIGTERM or SIGINT.
@@ -161,21 +163,27 @@
 	if err := c.Open(); err != nil {
 		return err
 	}
-	return runUntilSignal(settings, clock, func(ctx context.Context) error { return serveControl(ctx, settings, c) }, c.Collectors)
+	gate := newGate(clock, log)
+	return runUntilSignal(settings, clock, gate, func(ctx context.Context) error { return serveControl(ctx, settings, gate, c) }, c.Collectors)
 }
 
-func serveControl(ctx context.Context, settings *schema.Settings, c *controller.Controller) error {
+func serveControl(ctx context.Context, settings *schema.Settings, gate *accepter.Gate, c *controller.Controller) error {
 	l, err := net.Listen("tcp", settings.Internal)
 	if err != nil {
 		return fmt.Errorf("control: internal listener: %w", err)
 	}
-	internalServer, err := dialer.NewServer(settings.Secret, settings.Mutual, controller.AcceptsOperatorToken, c.Log)
+	isOperator := func(token string) bool {
+		_, ok := controller.OperatorName(settings, token)
+		return ok
+	}
+	internalServer, err := dialer.NewOperatorServer(settings.Secret, settings.Mutual, controller.AcceptsOperatorToken, isOperator, c.Log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
 	schema.RegisterControlServiceServer(internalServer, &controller.Service{Controller: c})
 	var g run.Group
-	g.Add(func() error { return internalServer.Serve(l) }, func(error) { internalServer.Stop() })
+	bounded := &accepter.Listener{Listener: l, Gate: gate, Name: "internal", Peers: true}
+	g.Add(func() error { return internalServer.Serve(bounded) }, func(error) { internalServer.Stop() })
 	controllerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	g.Add(func() error { return c.Run(controllerCtx) }, func(error) { cancel() })
 	ended := make(chan struct{})
@@ -197,7 +205,7 @@
 // runUntilSignal runs the timer, the metrics listener and serve, and stops all of them when one
 // returns. SIGTERM or SIGINT cancels the context of serve, so that the others run until serve
 // has shut down.
-func runUntilSignal(settings *schema.Settings, clock *timer.Service, serve func(context.Context) error, listCollectors func() []prometheus.Collector) error {
+func runUntilSignal(settings *schema.Settings, clock *timer.Service, gate *accepter.Gate, serve func(context.Context) error, listCollectors func() []prometheus.Collector) error {
 	var g run.Group
 	background, stop := context.WithCancel(context.Background())
 	g.Add(func() error { return clock.Run(background) }, func(error) { stop() })
@@ -205,9 +213,14 @@
 	defer cancel()
 	g.Add(func() error { return serve(ctx) }, func(error) { cancel() })
 	if settings.Metrics != "" {
-		h := &http.Server{Addr: settings.Metrics, ReadHeaderTimeout: time.Second, Handler: metricsHandler(listCollectors)}
+		l, err := net.Listen("tcp", settings.Metrics)
+		if err != nil {
+			stop()
+			return fmt.Errorf("metrics listener: %w", err)
+		}
+		h := newMetricsServer(func() []prometheus.Collector { return append(listCollectors(), gate.Collectors()...) })
 		g.Add(func() error {
-			if err := h.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			if err := h.Serve(&accepter.Listener{Listener: l, Gate: gate, Name: "metrics"}); !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("metrics listener: %w", err)
 			}
 			return nil
@@ -216,6 +229,21 @@
 	return g.Run()
 }
 
+// Bounds of the metrics listener. Its requests have no bodies.
+const (
+	metricsHeaderTimeout  = 5 * time.Second
+	metricsIdleTimeout    = 2 * time.Minute
+	metricsMaxHeaderBytes = 32 << 10
+)
+
+func newMetricsServer(listCollectors func() []prometheus.Collector) *http.Server {
+	h := &http.Server{
+		Handler: metricsHandler(listCollectors), ReadHeaderTimeout: metricsHeaderTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMaxHeaderBytes,
+	}
+	accepter.Attach(h)
+	return h
+}
+
 // metricsHandler registers the collectors when metrics are requested, since the components that
 // provide them do not exist when the handler is created.
 func metricsHandler(listCollectors func() []prometheus.Collector) http.Handler {
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -116,10 +116,9 @@
 	if err != nil {
 		return fmt.Errorf("operator token: %w", err)
 	}
-	o.dialer = &dialer.Dialer{MutualTLS: s.Mutual, Timer: &o.clock}
-	o.client = &proposer.Proposer{
-		Dialer: o.dialer, ControlHosts: s.Controls, Token: strings.TrimSpace(string(token)), Timer: &o.clock,
-	}
+	o.client = &proposer.Proposer{ControlHosts: s.Controls, Token: strings.TrimSpace(string(token)), Timer: &o.clock}
+	o.dialer = &dialer.Dialer{MutualTLS: s.Mutual, OperatorToken: o.client.Token, Timer: &o.clock}
+	o.client.Dialer = o.dialer
 	return nil
 }
 
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -35,6 +35,7 @@
 	// MaxMessageBytes is the maximum size of one gRPC message, sent or received.
 	MaxMessageBytes = 64 << 20
 	secretHeader    = "trefoil-secret"
+	operatorHeader  = "trefoil-operator" // has the token of an operator, see NewOperatorServer
 	minRedialDelay  = 50 * time.Millisecond
 	maxRedialDelay  = time.Second
 	// Time for which a connection without a reply is not replaced: it takes two round trips to
@@ -86,6 +87,8 @@
 	Secret    string
 	MutualTLS *schema.Tls
 	Timer     *timer.Service
+	// OperatorToken is sent with each call of an operator's program, so that the host accepts large messages.
+	OperatorToken string
 	// Log gets a line for each connection that reaches another host than the one expected by a call.
 	Log zerolog.Logger
 
@@ -234,6 +237,9 @@
 }
 
 func (d *Dialer) withSecret(ctx context.Context) context.Context {
+	if d.OperatorToken != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, operatorHeader, d.OperatorToken)
+	}
 	return metadata.AppendToOutgoingContext(ctx, secretHeader, d.Secret)
 }
 
@@ -259,6 +265,13 @@
 // methods for which exempt returns true: their handlers check an operator's token instead. A
 // handler that panics fails its own call with codes.Internal, and is logged.
 func NewServer(secret string, mutualTLS *schema.Tls, exempt func(method string) bool, log zerolog.Logger) (*grpc.Server, error) {
+	return NewOperatorServer(secret, mutualTLS, exempt, func(string) bool { return false }, log)
+}
+
+// NewOperatorServer returns a server as NewServer does. A connection on which a call has the token of an operator,
+// for which isOperator returns true, is trusted like one with the secret (accepter.Trust). The token decides nothing
+// else: handlers check that of the message.
+func NewOperatorServer(secret string, mutualTLS *schema.Tls, exempt func(method string) bool, isOperator func(token string) bool, log zerolog.Logger) (*grpc.Server, error) {
 	creds, err := serverCredentials(mutualTLS)
 	if err != nil {
 		return nil, err
@@ -276,10 +289,12 @@
 		// Calls without the secret are refused before they take a goroutine and before their message is read.
 		grpc.InTapHandle(func(ctx context.Context, info *tap.Info) (context.Context, error) {
 			if !matchesSecret(info.Header, secret) {
-				if exempt(info.FullMethodName) {
+				if !exempt(info.FullMethodName) {
+					return nil, ErrWrongSecret
+				}
+				if token := info.Header.Get(operatorHeader); len(token) != 1 || !isOperator(token[0]) {
 					return ctx, nil
 				}
-				return nil, ErrWrongSecret
 			}
 			if p, ok := peer.FromContext(ctx); ok {
 				accepter.Trust(p.Addr)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
+	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/injector"
@@ -60,6 +61,7 @@
 	Settings    *schema.Settings
 	Timer       *timer.Service
 	Dialer      *dialer.Dialer
+	Gate        *accepter.Gate // bounds the connections of all listeners; required by Run
 	Log         zerolog.Logger
 	FaultPoints *injector.FaultPoints
 
@@ -167,15 +169,20 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("server: listen on the public address: %w", err), internalListener.Close())
 	}
-	grpcServer, err := dialer.NewServer(s.Settings.Secret, s.Settings.Mutual, acceptsOperatorToken, s.Log)
+	public, err := s.boundListener(publicListener)
+	if err != nil {
+		return errors.Join(err, internalListener.Close(), publicListener.Close())
+	}
+	grpcServer, err := dialer.NewOperatorServer(s.Settings.Secret, s.Settings.Mutual, acceptsOperatorToken, s.isOperator, s.Log)
 	if err != nil {
 		return errors.Join(err, internalListener.Close(), publicListener.Close())
 	}
 	schema.RegisterEntryServiceServer(grpcServer, &EntryService{Server: s})
 	httpServer := s.newHTTPServer()
 	serveErrs := make(chan error, 2)
-	go func() { serveErrs <- grpcServer.Serve(internalListener) }()
-	go func() { serveErrs <- s.serveHTTP(httpServer, publicListener) }()
+	internal := &accepter.Listener{Listener: internalListener, Gate: s.Gate, Name: "internal", Peers: true}
+	go func() { serveErrs <- grpcServer.Serve(internal) }()
+	go func() { serveErrs <- httpServer.Serve(public) }()
 	s.startBackground(background)
 	s.Log.Info().Str("listen", s.Settings.Listen).Str("region", s.Settings.Region).Msg("serving")
 	select {
@@ -191,16 +198,29 @@
 		Handler: s.handler(), ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleConnectionTimeout, ErrorLog: stdlog.New(s.Log, "", 0),
 	}
-	accepter.AllowHeaderValues(h)
+	accepter.Attach(h)
 	return h
 }
 
-func (s *Server) serveHTTP(h *http.Server, l net.Listener) error {
-	if t := s.Settings.Tls; t != nil {
-		h.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
-		return h.ServeTLS(l, t.Cert, t.Key)
+// boundListener returns the callers' listener as the Gate bounds it, with TLS if the settings say so. Callers with TLS
+// get HTTP/1.1: the Gate counts lines of request headers, which HTTP/2 does not have.
+func (s *Server) boundListener(l net.Listener) (*accepter.Listener, error) {
+	bounded := &accepter.Listener{Listener: l, Gate: s.Gate, Name: "callers"}
+	t := s.Settings.Tls
+	if t == nil {
+		return bounded, nil
 	}
-	return h.Serve(l)
+	certificate, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fmt.Errorf("server: certificate and key for callers: %w", err)
+	}
+	bounded.TLS = &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}, Certificates: []tls.Certificate{certificate}}
+	return bounded, nil
+}
+
+func (s *Server) isOperator(token string) bool {
+	_, ok := controller.OperatorName(s.Settings, token)
+	return ok
 }
 
 func (s *Server) startBackground(ctx context.Context) {
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -57,6 +57,7 @@
 	folder         string
 	firstPort      int
 	procs          map[string]*exec.Cmd
+	programs       map[string]string // by host: started in place of trefoild, with the same arguments
 	engines        map[string]*faker.Engine
 	bookings       map[string]*faker.Booking
 	stopAnnouncing map[string]context.CancelFunc // by upstream: announces that it leaves, then returns
@@ -89,15 +90,22 @@
 // newSystem writes the demonstration's settings and starts the processes and upstreams of
 // all regions. They stop when the test ends; if it failed, the ends of their logs are printed.
 func newSystem(t *testing.T) *system {
+	t.Helper()
+	return newPreparedSystem(t, func(*system) {})
+}
+
+// newPreparedSystem is newSystem with a function that is called once the settings are written.
+func newPreparedSystem(t *testing.T, prepare func(*system)) *system {
 	t.Helper()
 	s := &system{
-		t: t, folder: t.TempDir(), firstPort: freePorts(t, 60), procs: map[string]*exec.Cmd{},
+		t: t, folder: t.TempDir(), firstPort: freePorts(t, 60), procs: map[string]*exec.Cmd{}, programs: map[string]string{},
 		engines: map[string]*faker.Engine{}, bookings: map[string]*faker.Booking{}, stopAnnouncing: map[string]context.CancelFunc{},
 	}
 	if err := command.WriteDemoSettings(s.folder, s.firstPort); err != nil {
 		t.Fatal(err)
 	}
 	s.raiseLimits()
+	prepare(s)
 	t.Cleanup(s.close)
 	for _, region := range command.DemoRegions {
 		s.mustRun("trefoild", "init", "--settings", s.settingsPath("control-"+region))
@@ -200,7 +208,11 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(binDir, "trefoild"), role, "--settings", s.settingsPath(name))
+	program := s.programs[name]
+	if program == "" {
+		program = filepath.Join(binDir, "trefoild")
+	}
+	cmd := exec.Command(program, role, "--settings", s.settingsPath(name))
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
