--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -138,16 +138,29 @@
 func newCutServers(t *testing.T, second scriptStep) *cutServers {
 	x := &cutServers{}
 	first := func(w http.ResponseWriter, r *http.Request) {
-		x.mu.Lock()
-		step := x.script[0]
-		x.script = x.script[1:]
-		x.mu.Unlock()
-		step(w, r)
+		if step := x.nextStep(); step != nil {
+			step(w, r)
+			return
+		}
+		t.Error("the first upstream got more requests than its script has steps")
+		http.Error(w, "no step is left", http.StatusInternalServerError)
 	}
 	x.addresses = []string{x.upstream(t, "u0", []scriptStep{first}), x.upstream(t, "u1", []scriptStep{second})}
 	return x
 }
 
+// nextStep returns the next step of script; nil: none is left.
+func (x *cutServers) nextStep() scriptStep {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.script) == 0 {
+		return nil
+	}
+	step := x.script[0]
+	x.script = x.script[1:]
+	return step
+}
+
 // serveCut serves a request whose upstream sends n bytes of c's response, on a connection that it has used before
 // if reused is set, as a host of another region that relays it if relayed is set. It returns what the caller got
 // and the upstreams at which the request arrived.
