--- a/internal/forwarder/assign.go
+++ b/internal/forwarder/assign.go
@@ -36,6 +36,9 @@
 type assignments struct {
 	meter   assigner.Meter
 	current atomic.Pointer[assignmentSet] // nil while there is none
+	// reported is the demand by pool in the last report to the control hosts, which sums of the region hold; nil before
+	// the first one.
+	reported atomic.Pointer[map[string][]*schema.HomeDemand]
 
 	mu    sync.Mutex
 	pools map[string]*poolAssignment // by pool; guarded by mu
@@ -83,6 +86,8 @@
 		return loads
 	}
 	demands := f.assignments.meter.Demands(f.Timer.Now())
+	reported := maps.Clone(demands)
+	f.assignments.reported.Store(&reported)
 	for _, l := range loads {
 		l.Demands = demands[l.Pool]
 		delete(demands, l.Pool)
@@ -93,6 +98,16 @@
 	return loads
 }
 
+// ReportedDemand returns the demand of this host's callers for a pool as reported last, and whether this host has
+// reported any demand.
+func (f *Forwarder) ReportedDemand(pool string) (demands []*schema.HomeDemand, reported bool) {
+	last := f.assignments.reported.Load()
+	if last == nil {
+		return nil, false
+	}
+	return (*last)[pool], true
+}
+
 // poolState is a pool's capacity, use and demand in all regions.
 type poolState struct {
 	regions      []assigner.Region
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -227,7 +227,7 @@
 			free += n - r
 		}
 	}
-	part := q.part(own, running, s.slotFraction, now)
+	part := q.part(own, running, s.fractionOf(w.Pool), now)
 	rate := part * float64(running) / hold.Seconds()
 	ahead, least := q.queue.Ahead(u, now), rate*sharer.MinRankShare
 	switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/apportioner"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/estimator"
+	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/sharer"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -119,6 +121,10 @@
 	// HostCount returns the number of hosts of the region that use its upstreams. Nil means
 	// one.
 	HostCount func() int
+	// Region is the region of this host. OwnDemand returns what this host's callers ask of a pool, as this host reported
+	// it last, and whether it has reported any; it must not call the Scheduler. Nil means that it is not measured.
+	Region    string
+	OwnDemand func(pool string) (demands []*schema.HomeDemand, reported bool)
 	// DrainTime is the time, from the first answer that says that an upstream is leaving, after which
 	// nothing may reach it. 0: it gets nothing once it said so.
 	DrainTime time.Duration
@@ -137,7 +143,10 @@
 	kept            map[string]answerState // of upstreams that are not announced, by name; guarded by mu
 	loadsAt         time.Duration          // when the load of the other hosts was received; guarded by mu
 	expect          expectations           // guarded by mu
-	slotFraction    float64                // this host's fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
+	slotFraction    float64                // an equal fraction of the free slots; 0 before the first call of UpdateOtherLoads; guarded by mu
+	// fractions are this host's fractions of the free slots by demand, of pools of engines; nil unless adaptive; guarded
+	// by mu
+	fractions map[string]apportioner.Fraction
 }
 
 // pool holds the waiting requests of one pool and its learned delays.
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -266,9 +266,10 @@
 	if s.HostCount != nil {
 		s.slotFraction = 1 / float64(max(1, s.HostCount()))
 	}
+	s.updateFractions(loads)
 	for _, u := range s.upstreams {
 		u.otherAverage += reportWeight * (float64(u.otherRunning) - u.otherAverage)
-		u.refillSlotQuota(s.slotFraction)
+		u.refillSlotQuota(s.fractionOf(u.announcement.Pool))
 	}
 }
 
--- a/internal/scheduler/work_test.go
+++ b/internal/scheduler/work_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/trefoilloft/trefoilloft/internal/assigner"
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/emulator"
 	"github.com/trefoilloft/trefoilloft/internal/estimator"
@@ -57,6 +58,11 @@
 	reportDelay func(*rand.Rand) time.Duration
 	startedAt   time.Duration
 	results     map[string]*result
+	// pickHost draws the host that a caller sends to; nil: all are equally likely. meters measure the hosts' demand, which
+	// is then reported; nil: it is not.
+	pickHost func(*rand.Rand) int
+	meters   []*assigner.Meter
+	reported [][]*schema.HomeDemand // by host
 }
 
 // result is what the callers of one workload saw.
@@ -167,6 +173,10 @@
 		for _, l := range reports[i] {
 			add(sum, l, 1)
 		}
+		if c.meters != nil {
+			c.reported[i] = c.meters[i].Demands(c.Now())["engine"]
+			sum.Demands = assigner.AddDemands(sum.Demands, c.reported[i])
+		}
 	}
 	for i, s := range c.hosts {
 		delay := c.reportDelay(c.choices)
@@ -233,7 +243,16 @@
 		InputTokens: l.shared + l.own, OutputTokens: estimate, Rank: l.rank, ObjectiveAt: c.Now() + l.objective, Deadline: c.Now() + l.left,
 		Sizing: estimator.Key{Route: l.name, Customer: l.name, Hint: hint, Max: l.max},
 	}
-	s := c.hosts[c.random.IntN(len(c.hosts))]
+	i := 0
+	if c.pickHost != nil {
+		i = c.pickHost(c.random)
+	} else {
+		i = c.random.IntN(len(c.hosts))
+	}
+	s := c.hosts[i]
+	if c.meters != nil {
+		c.meters[i].Record(w.Pool, nil, w.EngineTime(s.Config().Pool(w.Pool).GetEngine()), true, c.Now())
+	}
 	arrivedAt := c.Now()
 	x, err := s.reserveOrEnqueue(w)
 	if err != nil {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -72,6 +72,7 @@
 	Requests    *bufferer.Budget
 	unusable    *unusableReports
 	lists       *listObserver
+	fractions   *fractionObserver
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
 	scheduler   *scheduler.Scheduler
@@ -99,12 +100,14 @@
 	e.unusable = newUnusableReports(e.Timer, e.Log)
 	e.Table.OnUnusable = e.unusable.record
 	e.lists = newListObserver(e.Log)
+	e.fractions = newFractionObserver(e.Timer, e.Log)
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
 	}, Adaptive: func() bool { return e.adaptive(e.Table) }}
 	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount,
+		Region: e.Settings.Region, OwnDemand: func(pool string) ([]*schema.HomeDemand, bool) { return e.Forwarder.ReportedDemand(pool) },
 		Adaptive: func() bool { return e.adaptive(e.Table) }} // without FairQueue: it served fewer requests in time on a heavy day
 	e.estimates = scheduler.NewEstimateMetrics(e.scheduler)
 	e.Requests = e.newBudget()
@@ -219,7 +222,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.estimates})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.fractions.gauge, e.estimates})
 }
 
 // Stopping reports whether the process is shutting down.
@@ -330,6 +333,7 @@
 // table has been updated.
 func (e *Entry) applyLoads(loads []*schema.PoolLoad, digests []*schema.RegionDigest) {
 	e.scheduler.UpdateOtherLoads(loads)
+	e.fractions.record(e.scheduler.SlotFractions())
 	e.scheduler.UpdateUpstreams(e.Table.Upstreams())
 	e.scheduler.UpdateLeaving(e.Table.LeavingUntil())
 	e.scheduler.UpdateBroken(e.Table.BrokenAt())
