--- a/internal/cataloger/capacity.go
+++ b/internal/cataloger/capacity.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/trefoilloft/trefoilloft/internal/schema"
+	"github.com/trefoilloft/trefoilloft/internal/apportioner"
 )
 
 const (
@@ -38,7 +38,7 @@
 func (t *Table) compareCapacities() bool {
 	cores, link := newSpan(), newSpan()
 	for _, p := range t.hosts {
-		if c := p.report.Capacity; usableCapacity(c) {
+		if c := p.report.Capacity; apportioner.Usable(c) {
 			cores.add(c.Cores)
 			link.add(c.Link)
 		}
@@ -46,11 +46,6 @@
 	return cores.max > cores.min*unevenRatio || link.max > link.min*unevenRatio
 }
 
-// usableCapacity reports whether both figures of a capacity are positive numbers.
-func usableCapacity(c *schema.Capacity) bool {
-	return c != nil && c.Cores > 0 && c.Link > 0 && !math.IsInf(c.Cores, 0) && !math.IsInf(c.Link, 0)
-}
-
 // span is the range of some values; empty if min is above max.
 type span struct{ min, max float64 }
 
--- a/internal/cataloger/capacity_test.go
+++ b/internal/cataloger/capacity_test.go
@@ -29,6 +29,7 @@
 		"links differ":                 {[]*schema.Capacity{capacity(0.2, 7.5), capacity(0.2, 25)}, true},
 		"one does not announce":        {[]*schema.Capacity{capacity(0.2, 10), nil}, false},
 		"zero, negative and no-number": {[]*schema.Capacity{capacity(0.2, 10), capacity(0, 10), capacity(-1, 10), capacity(math.NaN(), 10), capacity(0.2, math.Inf(1))}, false},
+		"absurd":                       {[]*schema.Capacity{capacity(0.2, 10), capacity(1e300, 10), capacity(0.2, 1e-300)}, false},
 	} {
 		clock := &timer.Service{Clock: &timer.ManualClock{}}
 		table := &Table{Timer: clock, AnnounceInterval: time.Second}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
+	"github.com/trefoilloft/trefoilloft/internal/apportioner"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -154,8 +155,12 @@
 }
 
 // hostsInRandomOrder returns the entry hosts of a region to which this host relays. Each host uses only a
-// few of them, so that connections between regions do not grow with the square of the hosts.
+// few of them, so that connections between regions do not grow with the square of the hosts. In adaptive mode they get
+// relays in proportion to their capacity.
 func (f *Forwarder) hostsInRandomOrder(region string) []*schema.Peer {
+	if f.adaptive() {
+		return apportioner.RelayHosts(f.Host, f.EntryHosts(region), maxRelayHosts, rand.Float64)
+	}
 	hosts := slices.Clone(preferredHosts(f.Host, f.EntryHosts(region)))
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	return hosts
