--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -72,6 +72,7 @@
 	Requests    *bufferer.Budget
 	unusable    *unusableReports
 	lists       *listObserver
+	capacities  *capacityLister
 	fractions   *fractionObserver
 	distributor *distributor.Distributor
 	refresher   *refresher.Refresher
@@ -100,6 +101,7 @@
 	e.unusable = newUnusableReports(e.Timer, e.Log)
 	e.Table.OnUnusable = e.unusable.record
 	e.lists = newListObserver(e.Log)
+	e.capacities = newCapacityLister(e.Settings.Name, e.Timer, e.Log)
 	e.fractions = newFractionObserver(e.Timer, e.Log)
 	e.Table.Start()
 	e.distributor = &distributor.Distributor{Timer: e.Timer, OnChange: e.applyConfig}
@@ -222,7 +224,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.fractions.gauge, e.estimates})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.capacities.unusable, e.capacities.lengths, e.fractions.gauge, e.estimates})
 }
 
 // Stopping reports whether the process is shutting down.
@@ -240,6 +242,9 @@
 func (e *Entry) Resolve(name, region, domain string) []string {
 	source, hosts := e.selectHosts(name, region)
 	e.lists.record(listKey{name, region}, source, func(line *zerolog.Event) { e.describeList(line, name, hosts) })
+	if e.adaptive(e.Table) && (source == listReady || source == listOtherRegions) {
+		return addressesOf(e.capacities.list(hosts, region, domain))
+	}
 	return addressesOf(listHosts(hosts, domain, e.Settings.Name))
 }
 
@@ -314,7 +319,7 @@
 	name := e.Settings.Name
 	entryHosts = slices.DeleteFunc(entryHosts, func(p *schema.Peer) bool { return p.Name == name })
 	if e.Ready() && (region == "" || region == e.Settings.Region) {
-		entryHosts = append(entryHosts, &schema.Peer{Name: name, Region: e.Settings.Region, Domain: e.Settings.Domain, Listen: e.Settings.Listen})
+		entryHosts = append(entryHosts, &schema.Peer{Name: name, Region: e.Settings.Region, Domain: e.Settings.Domain, Listen: e.Settings.Listen, Capacity: e.Capacity})
 	}
 	return entryHosts
 }
