--- a/internal/starter/capacity.go
+++ b/internal/starter/capacity.go
@@ -16,7 +16,7 @@
 // Interval at which the capacities of listed hosts are checked, and the shortest time between two log lines.
 const capacityCheckInterval = time.Second
 
-// capacityLister draws lists of hosts by capacity, in adaptive mode.
+// capacityLister draws lists of hosts by capacity, where these are uneven.
 type capacityLister struct {
 	self     string
 	timer    *timer.Service
--- a/internal/starter/capacity_test.go
+++ b/internal/starter/capacity_test.go
@@ -21,7 +21,7 @@
 func capableHosts(n int, ratio float64) []*schema.Peer {
 	var all []*schema.Peer
 	for i := range n {
-		p := readyHost(fmt.Sprintf("a%02d", i), "a")
+		p := readyHost(fmt.Sprintf("a%03d", i), "a")
 		x := 1 + (ratio-1)*float64(i%10)/9
 		p.Domain, p.Capacity = fmt.Sprint("a-", i%6), &schema.Capacity{Cores: 0.144 * x, Link: 7.5 * x}
 		all = append(all, p)
@@ -38,11 +38,17 @@
 	if diff := cmp.Diff(addressesOf(listHosts(equal, domain, "self")), e.Resolve("free", "a", domain)); diff != "" {
 		t.Errorf("outside adaptive mode: -before +got\n%s", diff)
 	}
+	many := capableHosts(300, 1.4)
+	e = newDirectory(t, many...)
+	e.Contended = true
+	if diff := cmp.Diff(addressesOf(listHosts(many, domain, "self")), e.Resolve("free", "a", domain)); diff != "" {
+		t.Errorf("under pressure, with equal capacities: -before +got\n%s", diff)
+	}
 	uneven := capableHosts(60, 3.3)
 	uneven[0].Ready, uneven[1].Ready, uneven[1].Stopping = false, false, true
 	e = newDirectory(t, uneven...)
 	first := e.Resolve("free", "a", domain)
-	if len(first) < 20 || len(first) > 58 || slices.Contains(first, "a00") || slices.Contains(first, "a01") {
+	if len(first) < 20 || len(first) > 58 || slices.Contains(first, "a000") || slices.Contains(first, "a001") {
 		t.Errorf("adaptive: a list of %d hosts: %v", len(first), first)
 	}
 	for range 10 {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -242,7 +242,8 @@
 func (e *Entry) Resolve(name, region, domain string) []string {
 	source, hosts := e.selectHosts(name, region)
 	e.lists.record(listKey{name, region}, source, func(line *zerolog.Event) { e.describeList(line, name, hosts) })
-	if e.adaptive(e.Table) && (source == listReady || source == listOtherRegions) {
+	// Under pressure alone, with hosts of equal capacity, lists do not change for nothing.
+	if e.Table.Uneven() && (source == listReady || source == listOtherRegions) {
 		return addressesOf(e.capacities.list(hosts, region, domain))
 	}
 	return addressesOf(listHosts(hosts, domain, e.Settings.Name))
