--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -64,6 +64,10 @@
 	// members is the last result of Members, unchanged since membersSince; guarded by mu
 	members      []string
 	membersSince time.Duration
+	// balances are what customers' limits still allow, by customer; only in adaptive mode. unsureAt is the last time at
+	// which tokens may have been spent that no control host reports; guarded by mu
+	balances map[string]*balance
+	unsureAt time.Duration
 	// sharesSeen is set if a control host reported standing shares since Start; guarded by mu
 	sharesSeen bool
 	stats      AllocatorStats // guarded by mu
@@ -75,13 +79,24 @@
 	// the host that reported it.
 	Unusable                    uint64
 	UnusableField, UnusableHost string
+	// ReclaimedTokens were added to reserves since no host could spend them.
+	ReclaimedTokens float64
+	// Sure is set if the leader knows all that may be in use, so that unused tokens return to the reserves.
+	Sure bool
 }
 
 // Stats returns the counters.
 func (a *Allocator) Stats() AllocatorStats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.stats
+	s := a.stats
+	if now := a.Now(); a.hosts != nil && a.adaptive() {
+		s.Sure = a.sureFrom(now) < now
+		for _, h := range a.hosts {
+			s.Sure = s.Sure && now-h.reportedAt <= hostTimeout
+		}
+	}
+	return s
 }
 
 // host is an entry host that reports. reportedAt is the time of its last report.
@@ -92,6 +107,7 @@
 	// sizes are the average sizes of a request, usableRates what entry hosts could use as standing shares, by customer;
 	// only in adaptive mode.
 	sizes, usableRates map[string]float64
+	meters             hostMeters // only in adaptive mode
 }
 
 // allotment is a part of one customer's limits that a host may be using.
@@ -117,6 +133,7 @@
 	a.demandRates = map[string]map[string]float64{}
 	a.reserves = map[string]*reserve{}
 	a.standing = map[string]map[string][]lease{}
+	a.balances, a.unsureAt = map[string]*balance{}, a.startedAt
 	a.sharesSeen = false
 	a.complete = map[string]bool{}
 	a.lastNumber = term << termShift
@@ -137,6 +154,7 @@
 		return a.renewStanding(p, now)
 	}
 	a.lastNumber++
+	a.hosts[p.Name].meters.addIssue(a.lastNumber, now)
 	out := &schema.Allotment{
 		Host: p.Name, Incarnation: p.Incarnation, Number: a.lastNumber, Lease: int64(LeaseDuration), Hosts: int32(len(a.hosts)),
 	}
@@ -187,6 +205,9 @@
 		}
 		a.demandRates[d.Customer][p.Name] = d.Rate
 	}
+	if a.adaptive() {
+		a.recordMeters(p, h, inOrder, now)
+	}
 	a.recordStanding(p, inOrder && p.Allotment > 0, now)
 	inUse := p.Allotment
 	if !inOrder && (len(p.Standing) > 0 || a.adaptive()) {
@@ -280,17 +301,10 @@
 // allotted returns what hosts other than except, and the entry hosts that report to them, may be using.
 func (a *Allocator) allotted(customer, except string, limits Limits, now time.Duration) part {
 	var sum part
-	for host, allotments := range a.allotments[customer] {
-		if host == except {
-			continue
-		}
-		p := a.standingPart(customer, host, limits, now)
-		for _, x := range allotments {
-			if x.until > now {
-				p = p.larger(x.reduced(x.limit, limits))
-			}
+	for host := range a.allotments[customer] {
+		if host != except {
+			sum = sum.plus(a.allottedTo(customer, host, limits, now))
 		}
-		sum = sum.plus(p)
 	}
 	for host := range a.standing[customer] {
 		if host != except && a.allotments[customer][host] == nil {
@@ -300,6 +314,17 @@
 	return sum
 }
 
+// allottedTo returns what one host, and the entry hosts that report to it, may be using.
+func (a *Allocator) allottedTo(customer, host string, limits Limits, now time.Duration) part {
+	p := a.standingPart(customer, host, limits, now)
+	for _, x := range a.allotments[customer][host] {
+		if x.until > now {
+			p = p.larger(x.reduced(x.limit, limits))
+		}
+	}
+	return p
+}
+
 func highestRate(allotments []allotment, now time.Duration) float64 {
 	rate := 0.0
 	for _, x := range allotments {
--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -127,6 +127,12 @@
 	averagedAt   time.Duration
 	// averageSize and averageSquare are moving averages of the tokens of a request and of their square.
 	averageSize, averageSquare float64
+	// steadyRate is a moving average of the demand over a longer time than demandRate; only in adaptive mode.
+	steadyRate float64
+	// spent counts the tokens spent out of the allotment or share, and at a control host also those that its entry hosts
+	// spent out of theirs; the last of them at spentAt. endedAt is when the share last ended.
+	spent            float64
+	spentAt, endedAt time.Duration
 	// usedAt is the time of the last request, or of the last report that expected some.
 	usedAt time.Duration
 }
@@ -166,6 +172,7 @@
 func (b *Bucket) spend(customer string, a *account, tokens float64, now time.Duration) error {
 	if a.level+b.SlackTokens*debtFraction/b.sharingHosts() >= tokens {
 		a.level -= tokens
+		a.countSpent(tokens, now)
 		if b.LoansOnly {
 			b.shareStats.SpentTokens += tokens
 		}
@@ -182,15 +189,29 @@
 	if a.borrowed+fromShare >= tokens {
 		a.level -= fromShare
 		a.borrowed -= tokens - fromShare
+		a.countSpent(fromShare, now)
 		b.shareStats.SpentTokens += fromShare
 		return nil
 	}
 	return &OverRateError{
-		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - fromShare - a.borrowed, DemandRate: a.demandRate,
+		Customer: customer, RetryAfter: max(0, a.noLoanUntil-now), MissingTokens: tokens - fromShare - a.borrowed, DemandRate: b.aheadRate(a),
 		Learning: max(0, a.startingUntil-now),
 	}
 }
 
+// aheadRate returns the rate of the demand for which tokens are borrowed ahead. In adaptive mode it is an average over
+// some seconds, and 0 if a loan is likely to end before the next request of the typical size: one large request is not
+// the demand of a second, and tokens that end unspent are missing elsewhere.
+func (b *Bucket) aheadRate(a *account) float64 {
+	switch {
+	case !b.adaptive():
+		return a.demandRate
+	case a.steadyRate*loanDuration.Seconds() < minAheadRequests*a.typicalSize():
+		return 0
+	}
+	return a.steadyRate
+}
+
 // RetryTake charges a request again that Take counted as demand but refused, after more tokens
 // were borrowed. Its errors are those of Take.
 func (b *Bucket) RetryTake(customer string, tokens float64) error {
@@ -221,7 +242,7 @@
 	if now < a.borrowedUntil {
 		available = max(available, a.borrowed)
 	}
-	lacking := a.demandRate
+	lacking := b.aheadRate(a)
 	if b.LoansOnly {
 		share, _ := b.hostLimits(a, limits, now)
 		lacking -= share
@@ -286,6 +307,8 @@
 	// BorrowAheadDuration is the duration of a customer's demand that is borrowed ahead, since
 	// every request for a loan costs the leader as much as a caller's request costs a host.
 	BorrowAheadDuration = time.Second
+	// Number of requests that must be expected in loanDuration: with 3, none comes in one of 20 such times.
+	minAheadRequests = 3
 	// Time for which borrowed tokens are valid.
 	loanDuration = 1500 * time.Millisecond
 )
@@ -375,6 +398,7 @@
 	for name, a := range b.customers {
 		if d := (now - a.averagedAt).Seconds(); d > 0 {
 			a.demandRate += demandWeight * (a.demandTokens/d - a.demandRate)
+			a.steadyRate += standingDemandWeight * (a.demandTokens/d - a.steadyRate)
 			a.demandTokens, a.averagedAt = 0, now
 		}
 		if now-a.usedAt > idleTimeout && now > a.allottedUntil && a.granted.rate == 0 {
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -78,6 +78,7 @@
 	held lease
 	// granted were granted here; which of them is in use is known with the holder's next report.
 	granted []lease
+	meter   meter
 }
 
 // lease is a part of the limits that may be in use until a time on this host's clock. limit is the rate of the limits
@@ -135,6 +136,11 @@
 	now := g.start()
 	h := g.hosts[p.Name]
 	first := h == nil
+	// A report that names the last one as answered was made after that.
+	madeAfter := time.Duration(-1)
+	if h != nil && p.Incarnation == h.incarnation && p.Allotment == h.number {
+		madeAfter = h.reportedAt
+	}
 	switch {
 	case h == nil:
 		h = &grantee{}
@@ -144,7 +150,7 @@
 	}
 	h.incarnation, h.number, h.reportedAt = p.Incarnation, p.Number, now
 	id := holder{p.Name, p.Incarnation}
-	g.recordHeld(id, p, now, &summary)
+	g.recordHeld(id, p, madeAfter, now, &summary)
 	g.recordDemands(p, first, &summary)
 	var shares []*schema.Share
 	for _, name := range g.grantable(id) {
@@ -180,9 +186,9 @@
 }
 
 // recordHeld stores which shares a holder has. Those granted here that it does not name have ended, or their replies were
-// lost.
-func (g *Granter) recordHeld(id holder, p *schema.Peer, now time.Duration, summary *GrantSummary) {
-	held := map[string]lease{}
+// lost. The report was made after madeAfter; below 0: not known.
+func (g *Granter) recordHeld(id holder, p *schema.Peer, madeAfter, now time.Duration, summary *GrantSummary) {
+	held, stated := map[string]lease{}, map[string]*schema.Share{}
 	unknown := map[string]bool{}
 	for i, s := range p.Standing {
 		if i >= MaxStandingCustomers {
@@ -195,6 +201,7 @@
 			unknown[s.Customer] = true // what was granted to it counts until it ends
 			continue
 		}
+		stated[s.Customer] = s
 		held[s.Customer] = lease{part{s.Rate, s.Burst}, s.Limit, now + withClockDrift(timer.Seconds(s.Left))}
 		if len(g.customers) < maxGrantedCustomers {
 			g.customer(s.Customer)
@@ -207,21 +214,33 @@
 		case unknown[name] || !has && s == nil:
 			continue
 		case !has:
-			delete(c.shares, id)
+			g.removeShare(name, c, id, now)
 			continue
+		case s == nil && l.rate <= 0:
+			continue // it ended before it was reported here
 		case s == nil:
-			c.shares[id] = &share{held: l}
+			c.shares[id] = &share{held: l, meter: adoptedMeter(stated[name], now)}
 			continue
 		}
+		s.advance(now)
 		if len(s.granted) > 0 && s.until() > now {
 			l.until = min(l.until, s.until())
 			s.held, s.granted = lease{}, []lease{l}
-			continue
+		} else {
+			s.held, s.granted = l, nil
 		}
-		s.held, s.granted = l, nil
+		g.Bucket.addSpent(name, s.record(stated[name], madeAfter, now))
 	}
 }
 
+// removeShare removes a share that has ended. What its holder may have spent and did not report counts as spent.
+func (g *Granter) removeShare(name string, c *grants, id holder, now time.Duration) {
+	s := c.shares[id]
+	s.advance(now)
+	g.Bucket.addSpent(name, s.meter.potential)
+	delete(c.shares, id)
+}
+
 // recordDemands stores what a host's callers ask for, on average. Of a host that reports here for the first time the
 // first report counts in full.
 func (g *Granter) recordDemands(p *schema.Peer, first bool, summary *GrantSummary) {
@@ -329,9 +348,10 @@
 		return &schema.Share{Customer: name, Limit: limits.Rate}
 	}
 	if s == nil {
-		s = &share{}
+		s = &share{meter: meter{at: now}}
 		c.shares[id] = s
 	}
+	s.advance(now)
 	s.granted = append(s.granted, lease{next, limits.Rate, now + withClockDrift(duration)})
 	g.Bucket.setGranted(name, c.grantedHere(holder{}, limits, now))
 	if held.rate > 0 {
@@ -422,7 +442,13 @@
 		demands[d.Customer] = d
 	}
 	adaptive := g.Adaptive()
+	potentials := map[string]float64{}
 	for name, c := range g.customers {
+		potentials[name] = 0
+		for _, s := range c.shares {
+			s.advance(now)
+			potentials[name] += s.meter.potential
+		}
 		limits, known := g.Limits(name)
 		if !known {
 			continue
@@ -456,6 +482,9 @@
 			d.Size = sizes / rate
 		}
 	}
+	if adaptive {
+		p.Standing = append(p.Standing, g.Bucket.meters(potentials)...)
+	}
 	sortShares(p.Standing)
 	p.Complete = adaptive && now-g.startedAt >= withClockDrift(StandingDuration)
 	if adaptive && !p.Complete {
@@ -490,7 +519,7 @@
 	for name, c := range g.customers {
 		for id, s := range c.shares {
 			if s.until() <= now {
-				delete(c.shares, id)
+				g.removeShare(name, c, id, now)
 				g.stats.Expired++
 			}
 		}
--- a/internal/allocator/lender.go
+++ b/internal/allocator/lender.go
@@ -126,6 +126,7 @@
 	}
 	a.lentAhead += tokens
 	a.level -= tokens
+	a.countSpent(tokens, now)
 	a.demandTokens += tokens // later requests that are paid with these are not reported here
 	return tokens
 }
--- a/internal/allocator/reserve.go
+++ b/internal/allocator/reserve.go
@@ -78,6 +78,9 @@
 	}
 	r.lentAhead += extra
 	r.level -= minTokens + extra
+	if a.adaptive() {
+		a.balance(customer, limits, now).level -= minTokens + extra
+	}
 	return minTokens + extra, 0
 }
 
@@ -112,5 +115,8 @@
 	r.level = math.Min(maxLevel, r.level+rate*(now-r.filledAt).Seconds())
 	r.lentAhead = math.Max(0, r.lentAhead-limits.Burst*aheadFraction*(now-r.filledAt).Seconds()/loanDuration.Seconds())
 	r.filledAt = now
+	if a.adaptive() {
+		a.reclaim(r, customer, limits, maxLevel, now)
+	}
 	return r, rate, maxLevel
 }
--- a/internal/allocator/share.go
+++ b/internal/allocator/share.go
@@ -28,6 +28,8 @@
 	// driftMargin.
 	maxDriftFraction = 0.02
 	driftMargin      = 50 * time.Millisecond
+	// A share that ended is reported for this long, in several reports, so that what it had left is free at once.
+	endedDuration = time.Second
 	// Tokens, and tokens per second, above which a reported figure cannot be right.
 	maxFigure = 1e12
 )
@@ -211,6 +213,9 @@
 		case s.Rate > 0 && now < until:
 			changes.Granted++
 		}
+		if held && s.Rate <= 0 {
+			a.endedAt = now
+		}
 		a.rate, a.burst, a.limitRate, a.allottedUntil = s.Rate, s.Burst, s.Limit, until
 		a.fill(b, limits, now)
 	}
@@ -225,7 +230,7 @@
 	n := 0
 	for _, a := range b.customers {
 		if b.LoansOnly && a.rate > 0 && now >= a.allottedUntil {
-			a.rate, a.burst = 0, 0
+			a.rate, a.burst, a.endedAt = 0, 0, now
 			n++
 		}
 	}
@@ -233,8 +238,9 @@
 	return n
 }
 
-// Standing returns the standing shares that this host holds, with the time that is left of their leases. Of more than
-// MaxStandingCustomers it gives up the smallest, since what a report does not name counts as not held.
+// Standing returns the standing shares that this host holds, with the time that is left of their leases and, in adaptive
+// mode, with what was spent and what is left of each. Of more than MaxStandingCustomers it gives up the smallest, since
+// what a report does not name counts as not held.
 func (b *Bucket) Standing() []*schema.Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -242,7 +248,12 @@
 	var shares []*schema.Share
 	for name, a := range b.customers {
 		if b.LoansOnly && a.rate > 0 && now < a.allottedUntil {
-			shares = append(shares, &schema.Share{Customer: name, Rate: a.rate, Burst: a.burst, Limit: a.limitRate, Left: (a.allottedUntil - now).Seconds()})
+			s := &schema.Share{Customer: name, Rate: a.rate, Burst: a.burst, Limit: a.limitRate, Left: (a.allottedUntil - now).Seconds()}
+			if limits, known := b.Limits(name); known && b.adaptive() {
+				a.fill(b, limits, now)
+				s.Standing, s.StandingBurst = 1+a.spent, math.Max(0, a.level)
+			}
+			shares = append(shares, s)
 		}
 	}
 	sortShares(shares)
@@ -254,6 +265,25 @@
 	return shares
 }
 
+// Ended returns at most n shares that ended lately, at a rate of 0, with what was spent of each; none unless in adaptive
+// mode. A report that names them after those of Standing makes free at once what they had left.
+func (b *Bucket) Ended(n int) []*schema.Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.LoansOnly || !b.adaptive() {
+		return nil
+	}
+	now := b.Now()
+	var shares []*schema.Share
+	for name, a := range b.customers {
+		if a.rate <= 0 && a.endedAt > 0 && now-a.endedAt < endedDuration {
+			shares = append(shares, &schema.Share{Customer: name, Standing: 1 + a.spent})
+		}
+	}
+	sortShares(shares)
+	return shares[:min(len(shares), n)]
+}
+
 func sortShares(shares []*schema.Share) {
 	slices.SortFunc(shares, func(a, b *schema.Share) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Customer, b.Customer))
--- a/internal/allocator/standing.go
+++ b/internal/allocator/standing.go
@@ -63,6 +63,9 @@
 		}
 	}
 	for _, s := range p.Standing {
+		if isMeter(s) {
+			continue
+		}
 		_, known := a.Limits(s.Customer)
 		if field, _ := unusableField(s, known, withClockDrift(StandingDuration)); field != "" {
 			a.recordUnusable(p.Name, "standing."+field)
--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -40,8 +40,16 @@
 	loads []*simLoad
 	// spent are the tokens spent in each step, by customer; allowed the tokens that the rate then allowed.
 	spent, allowed map[string][]float64
-	steps          int
-	violation      string // first violation that verify found; empty: none
+	// left is what the limits allow, by customer, if they are charged when tokens are spent out of a share or an allotment,
+	// or lent out of the reserve; the rate is that of the fastest clock. shareTokens are those of shares as of the last
+	// call of chargeShares.
+	left        map[string]float64
+	shareTokens map[*Bucket]float64
+	// slack is the SlackTokens of control hosts. exact says that verify compares the tokens that hosts may spend with left.
+	slack     float64
+	exact     bool
+	steps     int
+	violation string // first violation that verify found; empty: none
 	// lost is the part of the replies to reports that are lost, late the part of reports that arrive again after the next
 	// one, paused the part of replies before which an entry host is suspended for up to 7 s.
 	lost, late, paused float64
@@ -93,6 +101,9 @@
 	incarnation uint64
 	number      uint64
 	late        *schema.Peer
+	lateTo      *simControl
+	// answered is the number of the last report whose reply was applied.
+	answered uint64
 	// pending is a reply that arrived while the host was suspended, requested at sentAt.
 	pending []*schema.Share
 	sentAt  time.Duration
@@ -101,7 +112,7 @@
 func newSim(seed uint64, controls, entries int, limits map[string]Limits) *sim {
 	x := &sim{
 		seed: seed, rand: rand.New(rand.NewPCG(seed, 7)), clock: &timer.Service{Clock: &timer.ManualClock{}}, limits: limits, adaptive: true,
-		spent: map[string][]float64{}, allowed: map[string][]float64{},
+		spent: map[string][]float64{}, allowed: map[string][]float64{}, left: map[string]float64{}, shareTokens: map[*Bucket]float64{}, slack: simSlack,
 	}
 	x.clock.Advance(time.Hour)
 	for i := range controls {
@@ -143,20 +154,22 @@
 		}
 		return names
 	}
-	c.bucket = &Bucket{Now: c.now, Limits: x.limitsOf, SlackTokens: simSlack, Adaptive: x.isAdaptive}
+	c.bucket = &Bucket{Now: c.now, Limits: x.limitsOf, SlackTokens: x.slack, Adaptive: x.isAdaptive}
 	c.granter = &Granter{Now: c.now, Limits: x.limitsOf, Adaptive: x.isAdaptive, Bucket: c.bucket}
 	c.lender = &Lender{Bucket: c.bucket, Background: func(f func()) { f() }, Draw: func(_ context.Context, customer string, minTokens, maxTokens float64) (float64, time.Duration, error) {
 		if x.leader == nil || !x.reaches(&c.simHost, &x.leader.simHost) || c.cutOff && c != x.leader {
 			return 0, 0, errLost
 		}
-		return x.leader.allocator.LendOrLearn(customer, minTokens, maxTokens)
+		tokens, retry, err := x.leader.allocator.LendOrLearn(customer, minTokens, maxTokens)
+		x.left[customer] -= tokens
+		return tokens, retry, err
 	}}
 }
 
 // restartEntry replaces an entry host's process.
 func (x *sim) restartEntry(e *simEntry) {
 	e.incarnation++
-	e.number = 0
+	e.number, e.answered = 0, 0
 	e.pending = nil
 	e.bucket = &Bucket{Now: e.now, Limits: x.limitsOf, LoansOnly: true, Adaptive: x.isAdaptive}
 }
@@ -191,6 +204,10 @@
 		for customer, l := range x.limits {
 			x.spent[customer] = append(x.spent[customer], 0)
 			x.allowed[customer] = append(x.allowed[customer], l.Rate*simStep.Seconds())
+			if len(x.spent[customer]) == 1 {
+				x.left[customer] = l.Burst
+			}
+			x.left[customer] = math.Min(l.Burst, x.left[customer]+1.005*l.Rate*simStep.Seconds())
 		}
 		for _, l := range x.loads {
 			for l.due += l.rate * simStep.Seconds(); l.due >= l.size; l.due -= l.size {
@@ -210,6 +227,9 @@
 				}
 			}
 		}
+		if x.exact {
+			x.chargeShares()
+		}
 		if x.steps%10 == 0 {
 			x.verify()
 		}
@@ -266,7 +286,28 @@
 	if !x.reaches(&e.simHost, &c.simHost) {
 		return 0, 0, errLost
 	}
-	return c.lender.Lend(context.Background(), customer, minTokens, maxTokens)
+	before := c.level(customer, x.limits[customer])
+	lent, retry, err := c.lender.Lend(context.Background(), customer, minTokens, maxTokens)
+	x.left[customer] -= before - c.level(customer, x.limits[customer])
+	return lent, retry, err
+}
+
+// level returns the tokens of the control host's allotment.
+func (c *simControl) level(customer string, limits Limits) float64 {
+	c.bucket.mu.Lock()
+	defer c.bucket.mu.Unlock()
+	return c.bucket.account(customer, limits, c.now()).level
+}
+
+// chargeShares charges what entry hosts spent out of their shares since the last call. There is one customer.
+func (x *sim) chargeShares() {
+	for customer := range x.limits {
+		for _, e := range x.entries {
+			spent := e.bucket.Stats().SpentTokens
+			x.left[customer] -= spent - x.shareTokens[e.bucket]
+			x.shareTokens[e.bucket] = spent
+		}
+	}
 }
 
 // refresh sends an entry host's report, whose reply may be lost; then the next goes to another control host.
@@ -277,7 +318,7 @@
 	}
 	if e.pending != nil {
 		e.bucket.ApplyStanding(e.pending, e.sentAt)
-		e.pending = nil
+		e.pending, e.answered = nil, e.number
 	}
 	demands, _ := e.bucket.Report(nil)
 	if !x.reaches(&e.simHost, &c.simHost) {
@@ -285,18 +326,19 @@
 		return
 	}
 	e.number++
-	p := &schema.Peer{Name: e.name, Incarnation: e.incarnation, Number: e.number, Standing: e.bucket.Standing()}
+	p := &schema.Peer{Name: e.name, Incarnation: e.incarnation, Number: e.number, Standing: e.bucket.Standing(), Allotment: e.answered}
+	p.Standing = append(p.Standing, e.bucket.Ended(MaxStandingCustomers-len(p.Standing))...)
 	if x.adaptive {
 		p.Demands = LargestDemands(demands)
 	}
 	sentAt := e.now()
 	shares, _ := c.granter.Grant(p)
 	if e.late != nil {
-		c.granter.Grant(e.late)
+		e.lateTo.granter.Grant(e.late) // a connection has one host at its other end
 		e.late = nil
 	}
 	if x.rand.Float64() < x.late {
-		e.late = proto.CloneOf(p)
+		e.late, e.lateTo = proto.CloneOf(p), c
 	}
 	if x.rand.Float64() < x.paused {
 		e.pending, e.sentAt = shares, sentAt
@@ -308,6 +350,7 @@
 		return
 	}
 	e.bucket.ApplyStanding(shares, sentAt)
+	e.answered = e.number
 }
 
 // consult sends a control host's report to the leader.
@@ -402,9 +445,36 @@
 		if x.violation == "" && (sum.rate > largest.rate || sum.burst > largest.burst || standing.rate > bound.rate || standing.burst > bound.burst) {
 			x.violation = fmt.Sprintf("at step %d limits %v, shares %.0f, allotments %.0f, reserve %.0f", x.steps, limits, standing, direct, free)
 		}
+		shares, allotments, reserve := x.levels(customer, limits)
+		left := x.left[customer]
+		// A control host that has started holds the burst of its floor, wherever that was spent before.
+		if x.violation == "" && x.exact && shares+allotments+reserve > left+0.02*limits.Burst {
+			x.violation = fmt.Sprintf("at step %d limits %v allow %.0f, but hosts may spend: shares %.0f, allotments %.0f, reserve %.0f", x.steps, limits, left, shares, allotments, reserve)
+		}
 	}
 }
 
+// levels returns the tokens that hosts may spend at this moment out of shares, allotments and the reserve.
+func (x *sim) levels(customer string, limits Limits) (shares, allotments, reserve float64) {
+	for _, e := range x.entries {
+		if a := e.bucket.customers[customer]; a != nil && e.now() < a.allottedUntil {
+			a.fill(e.bucket, limits, e.now())
+			shares += a.level
+		}
+	}
+	for _, c := range x.controls {
+		if a := c.bucket.customers[customer]; a != nil && c.now() < a.allottedUntil {
+			a.fill(c.bucket, limits, c.now())
+			allotments += math.Max(0, a.level)
+		}
+	}
+	if x.leader != nil && x.up(&x.leader.simHost) {
+		r, _, _ := x.leader.allocator.fillReserve(customer, limits, x.leader.now())
+		reserve = math.Max(0, r.level)
+	}
+	return shares, allotments, reserve
+}
+
 // held returns the sum of the shares that entry hosts may spend, and their number.
 func (x *sim) held(customer string) (sum part, n int) {
 	for _, e := range x.entries {
@@ -855,6 +925,16 @@
 	if s := a.Shares[0]; s.Standing != 0 || s.StandingBurst != 0 || s.Limit != 0 || s.Left != 0 {
 		t.Errorf("allotment %v names a standing part", s)
 	}
+	report := &schema.Peer{Name: "h"}
+	off.controls[0].granter.Fill(report)
+	if got := off.leader.allocator.Stats(); len(report.Standing) > 0 || got.ReclaimedTokens > 0 || got.Sure {
+		t.Errorf("reported %v, %+v, want no tokens spent stated and none returned to the reserve", report.Standing, got)
+	}
+	for _, e := range off.entries {
+		if n := len(e.bucket.Ended(MaxStandingCustomers)); n > 0 {
+			t.Errorf("%d ended shares reported", n)
+		}
+	}
 	if shares, s := off.controls[0].granter.Grant(p); len(shares) > 0 || s != (GrantSummary{}) {
 		t.Errorf("granted %v, %+v", shares, s)
 	}
@@ -946,6 +1026,15 @@
 	}
 	p := &schema.Peer{}
 	g.Fill(p)
+	meters := 0
+	for _, s := range p.Standing {
+		if isMeter(s) {
+			meters++
+		}
+	}
+	if meters > maxMeters {
+		t.Errorf("tokens spent stated of %d customers", meters)
+	}
 	if len(p.Demands) > maxGrantedCustomers || len(p.Standing) > maxGrantedCustomers {
 		t.Errorf("%d demands and %d shares reported to the leader", len(p.Demands), len(p.Standing))
 	}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -16,6 +16,10 @@
 	mu       sync.Mutex
 	nextAt   time.Duration // when the next line on an unusable figure may be written; guarded by mu
 	unusable uint64        // number of unusable figures that the leader had counted with its last line; guarded by mu
+	// reclaimedAt is when the next line on tokens added to reserves may be written, reclaimed their sum as of the last
+	// one; guarded by mu
+	reclaimedAt time.Duration
+	reclaimed   float64
 	// decidedAt is when the next line on decisions may be written, decided the counters as of the last one; guarded by mu
 	decidedAt time.Duration
 	decided   allocator.GrantStats
@@ -53,7 +57,7 @@
 // grantShares takes what an entry host reports of its callers' demand and of its standing shares, and returns the shares
 // that it may use from now on. The report is not passed on to other hosts.
 func (k *Cluster) grantShares(p *schema.Peer) []*schema.Share {
-	defer func() { p.Demands, p.Standing = nil, nil }()
+	defer func() { p.Demands, p.Standing, p.Allotment = nil, nil, 0 }()
 	if k.Granter == nil {
 		return nil
 	}
@@ -83,6 +87,9 @@
 // allot returns the leader's allotment for a control host that reports.
 func (k *Cluster) allot(p *schema.Peer) *schema.Allotment {
 	allotment := k.Allocator.Allot(p)
+	if tokens, all := k.shares.nextReclaimed(k.c.Timer.Now(), k.Allocator.Stats().ReclaimedTokens); tokens > 0 {
+		k.c.Log.Info().Float64("tokens", tokens).Float64("allTokens", all).Msg("unused tokens returned to the reserves")
+	}
 	if s := k.Allocator.Stats(); s.Unusable != k.shares.counted() && k.shares.allows(k.c.Timer.Now()) {
 		k.shares.count(s.Unusable)
 		k.c.Log.Warn().Str("control", s.UnusableHost).Str("field", s.UnusableField).Uint64("unusable", s.Unusable).Msg("report on tokens cannot be used")
@@ -90,6 +97,19 @@
 	return allotment
 }
 
+// nextReclaimed returns the tokens added to reserves since the last call that returned some, given the sum of all; 0 if
+// it is too early for another line.
+func (l *shareLog) nextReclaimed(now time.Duration, sum float64) (tokens, all float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now < l.reclaimedAt || sum <= l.reclaimed {
+		return 0, sum
+	}
+	tokens = sum - l.reclaimed
+	l.reclaimedAt, l.reclaimed = now+shareLogInterval, sum
+	return tokens, sum
+}
+
 func (l *shareLog) counted() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/controller/shares_test.go
+++ b/internal/controller/shares_test.go
@@ -34,7 +34,7 @@
 		t.Helper()
 		number++
 		reply, err := s.Refresh(t.Context(), &schema.RefreshRequest{Self: &schema.Peer{
-			Name: "e", Region: "r", Incarnation: 2, Number: number,
+			Name: "e", Region: "r", Incarnation: 2, Number: number, Allotment: number - 1,
 			Demands:  []*schema.Demand{{Customer: "c", Rate: 400, Size: 10}, {Customer: "unknown", Rate: 1}},
 			Standing: []*schema.Share{{Customer: "c", Rate: 100, Burst: 50, Left: 5, Limit: 1000}},
 		}})
@@ -74,7 +74,7 @@
 		t.Errorf("loan of the leader while it learns: %v, %v", reply, err)
 	}
 	for _, p := range k.Table.ChangesSince(0, 0, "").Hosts {
-		if len(p.Demands) > 0 || len(p.Standing) > 0 {
+		if len(p.Demands) > 0 || len(p.Standing) > 0 || p.Allotment > 0 {
 			t.Errorf("passed on: %v", p)
 		}
 	}
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -85,6 +85,7 @@
 	cursor         uint64                   // position in the control host's table
 	cursorProcess  uint64                   // identifies the table that cursor belongs to
 	reportNumber   uint64                   // of the last report
+	answeredReport uint64                   // number of the last report whose reply was applied
 	failedAt       map[string]time.Duration // time of the last failure, by address, on Timer's clock
 	controlLost    bool
 	reportedReady  bool // Ready of the last report
@@ -185,6 +186,7 @@
 		r.abandonControl(err)
 		return err
 	}
+	r.answeredReport = r.reportNumber
 	r.recordRegained()
 	r.controlAddress = r.pickControl()
 	if age, confirmed := r.ConfirmationAge(); !confirmed || age > maxConfirmationAge {
@@ -210,6 +212,8 @@
 	self.Standing = r.Bucket.Standing()
 	if r.Adaptive != nil && r.Adaptive() {
 		self.Demands = allocator.LargestDemands(demands)
+		self.Standing = append(self.Standing, r.Bucket.Ended(allocator.MaxStandingCustomers-len(self.Standing))...)
+		self.Allotment = r.answeredReport
 	}
 	current := r.Distributor.Current()
 	request := &schema.RefreshRequest{Self: self, Version: current.Version, Hash: current.Hash, Cursor: r.cursor, Process: r.cursorProcess, Packs: true}
--- a/internal/refresher/refresher_test.go
+++ b/internal/refresher/refresher_test.go
@@ -129,6 +129,11 @@
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
 		first, second := <-server.reports, <-server.reports
+		third := <-server.reports
+		if stated := third.Standing[0].Standing >= 1; stated != adaptive || adaptive && (second.Allotment != first.Number || third.Allotment != second.Number) || !adaptive && third.Allotment != 0 {
+			t.Errorf("adaptive %v: tokens spent stated %v, report %d names %d as answered, report %d names %d",
+				adaptive, stated, second.Number, second.Allotment, third.Number, third.Allotment)
+		}
 		if (len(first.Demands) == 1) != adaptive || len(first.Standing) != 0 {
 			t.Errorf("adaptive %v: first report %v", adaptive, first)
 		}
--- a/internal/starter/shares.go
+++ b/internal/starter/shares.go
@@ -37,6 +37,17 @@
 		}, func() float64 { return float64(count(g.Stats())) })
 	}
 	return []prometheus.Collector{
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "trefoil_reclaimed_tokens_total", Help: "Tokens returned to the reserves by this host as the leader, since no host could spend them.",
+		}, func() float64 { return a.Stats().ReclaimedTokens }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "trefoil_reclaim_ready", Help: "1 if this host leads and knows all that may be in use, so that unused tokens return to the reserves.",
+		}, func() float64 {
+			if a.Stats().Sure {
+				return 1
+			}
+			return 0
+		}),
 		event("granted", func(s allocator.GrantStats) uint64 { return s.Granted }),
 		event("renewed", func(s allocator.GrantStats) uint64 { return s.Renewed }),
 		event("refused", func(s allocator.GrantStats) uint64 { return s.Refused }),
