--- a/internal/allocator/standing_test.go
+++ b/internal/allocator/standing_test.go
@@ -869,6 +869,27 @@
 	x.check(t, "c", 100_000)
 }
 
+// TestControlHostRestartsAtOnce guards against a control host that restarts within a lease's duration and spends all of its
+// new allotment while shares are in use that its earlier process granted.
+func TestControlHostRestartsAtOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		x := newSim(seed, 2, 25, map[string]Limits{"c": {Rate: 50_000, Burst: 50_000}})
+		x.slack = 0
+		for _, c := range x.controls {
+			x.restartControl(c)
+		}
+		x.load("c", 150_000, 500)
+		x.settle()
+		for _, c := range x.controls {
+			if c != x.leader {
+				x.restartControl(c)
+			}
+		}
+		x.run(5*time.Second, nil)
+		x.check(t, "c", 50_000)
+	}
+}
+
 // TestStartedControlHostIsNotComplete guards against a leader that drops what an earlier process of a control host may
 // have granted: until those leases have ended, the host reports no allotment in use and that its report is not complete.
 func TestStartedControlHostIsNotComplete(t *testing.T) {
