--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -108,6 +108,8 @@
 	// only in adaptive mode.
 	sizes, usableRates map[string]float64
 	meters             hostMeters // only in adaptive mode
+	// complete is set if its last report named all shares that may be in use.
+	complete bool
 }
 
 // allotment is a part of one customer's limits that a host may be using.
@@ -181,7 +183,7 @@
 		a.hosts[p.Name] = h
 	}
 	inOrder := p.Incarnation == h.incarnation && p.Number > h.number
-	h.incarnation, h.number, h.reportedAt = p.Incarnation, p.Number, now
+	h.incarnation, h.number, h.reportedAt, h.complete = p.Incarnation, p.Number, now, p.Complete
 	h.sizes, h.usableRates = map[string]float64{}, map[string]float64{}
 	for name, other := range a.hosts {
 		if now-other.reportedAt > hostTimeout {
--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -84,6 +84,9 @@
 	customers       map[string]*account // by name; guarded by mu
 	reportedAt      time.Duration       // time of the last call of Report; guarded by mu
 	shareStats      ShareStats          // counters only; guarded by mu
+	// holdBackUntil is until when shares may be in use that an earlier process of this host granted: what may be granted
+	// is not spent here. Guarded by mu.
+	holdBackUntil time.Duration
 }
 
 // account is the state of one customer at this host. Times are on the host's clock, amounts
@@ -481,6 +484,9 @@
 func (b *Bucket) allottedPart(a *account, limits Limits) (rate, burst float64) {
 	rate, burst = a.reducedShare(limits)
 	granted := a.granted
+	if b.Now() < b.holdBackUntil {
+		granted = granted.larger(a.grantable)
+	}
 	if a.grantedLimit > 0 && limits.Rate > a.grantedLimit {
 		granted = granted.times(limits.Rate / a.grantedLimit) // shares that were reduced are no longer
 	}
--- a/internal/allocator/calm_test.go
+++ b/internal/allocator/calm_test.go
@@ -332,6 +332,8 @@
 		{Customer: "c", Rate: 100, Burst: 100, Limit: 1000, Standing: 100, StandingBurst: 100, Left: 6},
 	}}, now)
 	g := &Granter{Now: clock, Limits: limits, Adaptive: adaptive, Bucket: b}
+	g.Fill(&schema.Peer{})
+	now += withClockDrift(StandingDuration) // before, only shares that are held are renewed
 	number := uint64(0)
 	// report sends a report 1 s after the last one, and returns what counts as spent and what may be left.
 	report := func(answered uint64, held ...*schema.Share) (spent, potential float64) {
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -167,6 +167,7 @@
 	if !g.started {
 		g.started, g.startedAt = true, now
 		g.hosts, g.customers = map[string]*grantee{}, map[string]*grants{}
+		g.Bucket.holdBack(now + withClockDrift(StandingDuration))
 	}
 	return now
 }
@@ -333,6 +334,9 @@
 	others, granted := c.outstanding(id, limits, now), c.grantedHere(id, limits, now)
 	renewable := held.smaller(available.minus(granted))
 	next := wanted.smaller(renewable.larger(available.minus(others)))
+	if now-g.startedAt < withClockDrift(StandingDuration) {
+		next = next.smaller(held) // holders that have not reported yet may be using the rest
+	}
 	if held.rate <= 0 && next.burst < wanted.burst*minBurstShare {
 		next = part{} // it would not hold a request
 	}
@@ -546,6 +550,13 @@
 	return a.grantable.reduced(a.grantableLimit, limits), min(a.grantDuration, StandingDuration)
 }
 
+// holdBack keeps what may be granted as standing shares from being spent here until a time.
+func (b *Bucket) holdBack(until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holdBackUntil = until
+}
+
 // setGranted deducts what may be in use of the standing shares granted here from what this host may spend.
 func (b *Bucket) setGranted(customer string, granted part) {
 	limits, known := b.Limits(customer)
--- a/internal/allocator/standing.go
+++ b/internal/allocator/standing.go
@@ -252,9 +252,16 @@
 	if !a.isMember(name) {
 		standing = part{}
 	}
-	total := direct.plus(standing).smaller(left).larger(part{})
+	unknown := part{}
+	if h := a.hosts[name]; h != nil && !h.complete {
+		// Shares that its earlier process granted may be in use beside all that it spends itself or grants.
+		own := a.standingPart(customer, name, limits, now)
+		standing = standing.smaller(permitted.minus(own).larger(a.reportedPart(customer, name, limits, now)))
+		unknown = own.minus(standing).larger(part{})
+	}
+	total := direct.plus(standing).smaller(left.minus(unknown)).larger(part{})
 	a.recordAllotment(name, customer, allotment{
-		number: a.lastNumber, part: total, until: now + LeaseDuration, standing: standing, limit: limits.Rate, standingUntil: now + learnDuration,
+		number: a.lastNumber, part: total.plus(unknown), until: now + LeaseDuration, standing: standing, limit: limits.Rate, standingUntil: now + learnDuration,
 	})
 	return &schema.Share{
 		Customer: customer, Rate: total.rate, Burst: total.burst, Left: StandingDuration.Seconds(), Limit: limits.Rate,
