--- a/test/heads_test.go
+++ b/test/heads_test.go
@@ -30,7 +30,7 @@
 	headsMaxMB  = 224  // resident memory of a process
 	headsMaxFDs = 1400 // descriptors that it may use
 
-	// TestCompleteHeadsThatWait and TestMixedHeads: many of their connections hold little.
+	// TestCompleteHeadsThatWait and TestMixedHeadsOlder: many of their connections hold little.
 	waitingCrowd = 400
 	mixedCrowd   = 600
 	waitingMaxMB = 144
@@ -302,9 +302,9 @@
 	}
 }
 
-// TestMixedHeads guards against a bound that holds for each kind of head alone, but not where clients of all kinds
+// TestMixedHeadsOlder guards against a bound that holds for each kind of head alone, but not where clients of all kinds
 // connect to all listeners at once.
-func TestMixedHeads(t *testing.T) {
+func TestMixedHeadsOlder(t *testing.T) {
 	s := startHeads(t, headsMaxFDs)
 	crowds := s.http(mixedCrowd, crowder.Heads...)
 	s.run("all kinds", waitingMaxMB, headsMaxFDs, append(crowds, crowd{crowder.Crowd{Openings: crowder.Frames, Clients: framesCrowd}, s.internal()})...)
