--- a/internal/allocator/calm_test.go
+++ b/internal/allocator/calm_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -288,7 +290,7 @@
 		}
 		a.NoteMembers()
 		a.Start(1)
-		p := &schema.Peer{Name: "a", Incarnation: 1, Complete: true, Demands: []*schema.Demand{{Customer: "c", Rate: 500, Size: 100}}}
+		p := &schema.Peer{Name: "a", Incarnation: 1, Complete: true, Metered: true, Demands: []*schema.Demand{{Customer: "c", Rate: 500, Size: 100}}}
 		report := func(spent, potential float64) {
 			p.Number++
 			p.Standing = []*schema.Share{{Customer: "c", Standing: spent, StandingBurst: potential}}
@@ -319,6 +321,44 @@
 	}
 }
 
+// TestReclaimNeedsMeters guards against tokens that are spent again: a control host of an earlier version states no
+// meters, which is not the same as having spent nothing, and one that has not reported for a while may have spent all.
+func TestReclaimNeedsMeters(t *testing.T) {
+	limits := Limits{Rate: 1000, Burst: 1000}
+	reclaimed := map[string]bool{}
+	for name, c := range map[string]struct {
+		metered bool
+		silence time.Duration
+	}{
+		"reports":         {true, 200 * time.Millisecond},
+		"states no meter": {false, 200 * time.Millisecond},
+		"silent":          {true, maxMeterAge + 200*time.Millisecond},
+	} {
+		now := time.Hour
+		a := &Allocator{
+			Now: func() time.Duration { return now }, Limits: func(string) (Limits, bool) { return limits, true },
+			Adaptive: func() bool { return true }, Members: func() []string { return []string{"a"} },
+		}
+		a.NoteMembers()
+		a.Start(1)
+		p := &schema.Peer{Name: "a", Incarnation: 1, Complete: true, Metered: c.metered}
+		for range 100 {
+			p.Number++
+			p.Allotment = max(p.Allotment, a.Allot(p).GetNumber())
+			now += 200 * time.Millisecond
+			_, _, _ = a.fillReserve("c", limits, now)
+		}
+		now += c.silence - 200*time.Millisecond
+		before := a.stats.ReclaimedTokens
+		a.reserves["c"].level, a.reserves["c"].filledAt = 0, now
+		_, _, _ = a.fillReserve("c", limits, now)
+		reclaimed[name] = a.stats.ReclaimedTokens > before
+	}
+	if diff := cmp.Diff(map[string]bool{"reports": true, "states no meter": false, "silent": false}, reclaimed); diff != "" {
+		t.Errorf("tokens returned to the reserve: -want +got\n%s", diff)
+	}
+}
+
 // TestMeterOfShare guards against a control host that reports less than a holder may have spent: a report that was made
 // before the last one was answered may be old, a share that ends without a report may have been spent, and one that grew
 // while no report came as well.
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -491,6 +491,7 @@
 	}
 	sortShares(p.Standing)
 	p.Complete = adaptive && now-g.startedAt >= withClockDrift(StandingDuration)
+	p.Metered = adaptive
 	if adaptive && !p.Complete {
 		p.Allotment = 0 // what an earlier process granted under an earlier allotment may be in use
 	}
--- a/internal/allocator/meter.go
+++ b/internal/allocator/meter.go
@@ -18,6 +18,9 @@
 	// Number of customers whose meters a control host states, those with the largest demand first: its reports must not
 	// grow with the number of customers.
 	maxMeters = 256
+	// Age of a control host's last report from which what it spent counts as not known: half of the lease of an
+	// allotment, so that it has none that lapsed unseen.
+	maxMeterAge = LeaseDuration / 2
 	// Number of allotments of one control host of which the leader keeps the time: more than it sends in a lease.
 	keptIssues = 64
 )
@@ -139,6 +142,9 @@
 	byCustomer map[string]hostMeter
 	partial    bool
 	from       time.Duration
+	// peaks are the largest parts that the host and its entry hosts may have used since from: a part that lapses
+	// meanwhile was in use until then.
+	peaks map[string]part
 	// issues are the last allotments, by time.
 	issues []issue
 }
@@ -223,7 +229,7 @@
 		}
 	}
 	for _, h := range a.hosts {
-		if !h.meters.stated {
+		if !h.meters.stated || now-h.reportedAt > maxMeterAge {
 			return now
 		}
 	}
@@ -234,7 +240,7 @@
 // at a time that is not known, are not used: the next one states the same counters.
 func (a *Allocator) recordMeters(p *schema.Peer, h *host, inOrder bool, now time.Duration) {
 	m := &h.meters
-	if !p.Complete {
+	if !p.Complete || !p.Metered {
 		m.stated, m.byCustomer = false, nil
 		return
 	}
@@ -268,6 +274,12 @@
 		x.level -= s.Standing - old.spent
 	}
 	m.stated, m.byCustomer, m.partial, m.from = true, stated, n >= maxMeters || len(stated) < n, from
+	m.peaks = map[string]part{}
+	for customer := range a.balances {
+		if limits, known := a.Limits(customer); known {
+			m.peaks[customer] = a.allottedTo(customer, p.Name, limits, now)
+		}
+	}
 }
 
 // unreported returns the most that may be left at the control hosts and at their entry hosts, or may have been spent
@@ -276,7 +288,10 @@
 	sum := 0.0
 	floor := part{limits.Rate, limits.Burst}.times(floorFraction / float64(max(1, len(a.hosts))))
 	for name, h := range a.hosts {
-		p := a.allottedTo(customer, name, limits, now)
+		p := a.allottedTo(customer, name, limits, now).larger(h.meters.peaks[customer])
+		if h.meters.peaks != nil {
+			h.meters.peaks[customer] = p
+		}
 		m, stated := h.meters.byCustomer[customer]
 		switch {
 		case stated:
