--- a/internal/accepter/conn.go
+++ b/internal/accepter/conn.go
@@ -86,6 +86,9 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.secured != nil {
+		c.secured.read = 0
+	}
 	if n > 0 && !c.account(p[:n]) {
 		c.sendUnsent()
 		return 0, refusal
@@ -100,7 +103,9 @@
 		return nil
 	}
 	err := t.Handshake()
-	c.secured.ended = err == nil
+	if c.secured.ended = err == nil; c.secured.ended {
+		c.secured.read = 0
+	}
 	return err
 }
 
--- a/internal/accepter/tls_test.go
+++ b/internal/accepter/tls_test.go
@@ -127,3 +127,33 @@
 	}
 	r.wait("end of the connection", func() bool { return r.gate.all.open == 0 })
 }
+
+// TestBytesWithoutData guards against memory that callers take after their handshake, which is not charged: TLS keeps a
+// message that is not data until it is whole.
+func TestBytesWithoutData(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	go func() {
+		for {
+			if _, err := near.Write(make([]byte, 4<<10)); err != nil {
+				return
+			}
+		}
+	}()
+	c := &handshakeConn{Conn: far, ended: true}
+	b := make([]byte, 4<<10)
+	for total := 0; total < 20*recordBytes; total += len(b) {
+		if _, err := c.Read(b); err != nil {
+			t.Fatalf("data: %v after %d bytes", err, total)
+		}
+		c.read = 0 // the server got data
+	}
+	total := 0
+	for err := error(nil); err == nil && total < 20*recordBytes; total += len(b) {
+		_, err = c.Read(b)
+	}
+	if total > recordBytes+2*len(b) {
+		t.Errorf("%d bytes without data were read", total)
+	}
+	_ = far.Close()
+}
