--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/controller"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
+	"github.com/trefoilloft/trefoilloft/internal/expirer"
 	"github.com/trefoilloft/trefoilloft/internal/injector"
 	"github.com/trefoilloft/trefoilloft/internal/persister"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -229,8 +230,10 @@
 	return g.Run()
 }
 
-// Bounds of the metrics listener. Its requests have no bodies.
+// Bounds of the metrics listener. Its requests need no bodies: one that is announced and does not come ends with
+// metricsBodyTimeout, or its connection would count as one with a running request for good.
 const (
+	metricsBodyTimeout    = 5 * time.Second
 	metricsHeaderTimeout  = 5 * time.Second
 	metricsIdleTimeout    = 2 * time.Minute
 	metricsMaxHeaderBytes = 32 << 10
@@ -238,7 +241,7 @@
 
 func newMetricsServer(listCollectors func() []prometheus.Collector) *http.Server {
 	h := &http.Server{
-		Handler: metricsHandler(listCollectors), ReadHeaderTimeout: metricsHeaderTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMaxHeaderBytes,
+		Handler: expirer.Handler(metricsHandler(listCollectors), metricsBodyTimeout), ReadHeaderTimeout: metricsHeaderTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMaxHeaderBytes,
 	}
 	accepter.Attach(h)
 	return h
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -236,8 +236,22 @@
 	d.conns, d.uses = nil, nil
 }
 
+// maxOperatorField is the longest token that is sent as a field of each call, bytes: fields have at most 32 KB together.
+const maxOperatorField = 4 << 10
+
+// isFieldValue reports whether a token can be sent as a field: gRPC fails calls with others. Where it is not sent, calls
+// are limited to what a connection without the secret may send.
+func isFieldValue(token string) bool {
+	for _, c := range []byte(token) {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return token != "" && len(token) <= maxOperatorField
+}
+
 func (d *Dialer) withSecret(ctx context.Context) context.Context {
-	if d.OperatorToken != "" {
+	if isFieldValue(d.OperatorToken) {
 		ctx = metadata.AppendToOutgoingContext(ctx, operatorHeader, d.OperatorToken)
 	}
 	return metadata.AppendToOutgoingContext(ctx, secretHeader, d.Secret)
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -282,3 +283,15 @@
 		t.Error("a connection that cannot be established is never replaced")
 	}
 }
+
+// TestOperatorTokenAsField guards against operators whose calls all fail, as gRPC refuses to send their token as a field.
+func TestOperatorTokenAsField(t *testing.T) {
+	got := map[string]bool{}
+	for _, token := range []string{"", "plain-token", "Schlüssel", "with\ttab", strings.Repeat("x", maxOperatorField+1)} {
+		got[token] = isFieldValue(token)
+	}
+	want := map[string]bool{"": false, "plain-token": true, "Schlüssel": false, "with\ttab": false, strings.Repeat("x", maxOperatorField+1): false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("tokens that can be sent as a field: -want +got\n%s", diff)
+	}
+}
