--- a/internal/forwarder/explain.go
+++ b/internal/forwarder/explain.go
@@ -136,6 +136,10 @@
 	return nil
 }
 
+// Largest number of parts of a prompt that is explained. The scheduler's lock is held while its state is copied, which
+// takes 8 ms for 1,000 parts and 250 engines.
+const maxExplainedParts = 256
+
 // checkExplained returns an error that names the first argument that cannot be right.
 func checkExplained(m *schema.ExplainRequest) error {
 	switch {
@@ -154,6 +158,9 @@
 			return invalidArgument(x.name, "%d is not a number of tokens", x.value)
 		}
 	}
+	if len(m.Parts) > maxExplainedParts {
+		return invalidArgument("parts", "%d parts, at most %d are explained", len(m.Parts), maxExplainedParts)
+	}
 	for i, p := range m.Parts {
 		if p.Id == "" || p.Tokens < 0 || p.Tokens > estimator.MaxTokens {
 			return invalidArgument("parts", "part %d has no ID, or %d is not a number of tokens", i+1, p.Tokens)
@@ -280,7 +287,7 @@
 
 // canRelay reports whether a request can be relayed to a region now.
 func (f *Forwarder) canRelay(r *Request, region string) bool {
-	return f.checkRelay(r, region) == nil && len(f.EntryHosts(region)) > 0
+	return region != "" && f.checkRelay(r, region) == nil && len(f.EntryHosts(region)) > 0
 }
 
 // explainPool explains what serveHere and serveRemotely would do with a request in its pool.
@@ -289,6 +296,7 @@
 	further := rand.New(rand.NewPCG(1, 1))
 	atHome := r.allows(f.Region)
 	chances := map[string]float64{}
+	reachable := map[string]bool{} // by region; to ask sorts the hosts of the region
 	for i := range explanationDraws {
 		c := f.dryChooser((float64(i)+0.5)/explanationDraws, further)
 		region := ""
@@ -297,7 +305,10 @@
 		} else {
 			region = f.chooseNext(r, map[string]bool{}, c)
 		}
-		if !f.canRelay(r, region) {
+		if _, asked := reachable[region]; !asked {
+			reachable[region] = f.canRelay(r, region)
+		}
+		if !reachable[region] {
 			region = ""
 		}
 		chances[region] += 1. / explanationDraws
