--- a/internal/scheduler/expect.go
+++ b/internal/scheduler/expect.go
@@ -121,6 +121,9 @@
 	maxFraction := maxDelayFraction
 	if preferred {
 		maxFraction = preferredMaxDelayFraction
+		if own := ownTokens(w); w.InputTokens-own > own {
+			maxFraction = 1 // read elsewhere, the shared parts would take more of the engines than the request itself
+		}
 	}
 	if maxDelay := time.Duration(float64(w.ObjectiveAt-now) * maxFraction); running > 0 && e.FirstEvent > max(maxDelay, minDelayBound) {
 		return nil, ReasonSlow
