Pass requests of a host that reaches no upstream to other hosts

Cause: such a host tries upstream after upstream for each request, 0.7 s each until establishing a connection times out, until the caller's time is over; other hosts of its region, which reach their upstreams, are never asked; and directories, owners of cold upstreams and relays from other regions count on it as before. What it says of upstreams rests on its own loss: a refused connection is taken for the end of a process, by all hosts that it tells. Class: a host that cannot reach something goes on as if it could, while others can.

Change: package prober finds out that no upstream of the region accepts a connection from this host, from connections that fail, break or are silent, confirmed by probes. Meanwhile the host passes requests on, also those that wait, to other hosts of its region and then to other regions, says so in its reports (Peer.isolated), and accuses no upstream. Directories and relays use the others; cold and limited upstreams and free slots are theirs. A relay says how many upstreams were tried before.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -288,7 +288,7 @@
 		return false
 	}
 	updated := &entryHost{report: p, reportedAt: now - timer.Seconds(p.Age), controlAddress: controlAddress}
-	changed := old == nil || old.report.Incarnation != p.Incarnation || old.report.Ready != p.Ready || old.report.Stopping != p.Stopping || old.report.Listen != p.Listen
+	changed := old == nil || old.report.Incarnation != p.Incarnation || old.report.Ready != p.Ready || old.report.Stopping != p.Stopping || old.report.Isolated != p.Isolated || old.report.Listen != p.Listen
 	if changed {
 		t.revision++
 		updated.revision = t.revision
@@ -403,6 +403,29 @@
 	return all
 }
 
+// ConnectedHosts returns the ready entry hosts of a region that reach its upstreams, sorted by name.
+func (t *Table) ConnectedHosts(region string) []*schema.Peer {
+	return slices.DeleteFunc(t.ReadyHosts(region), func(p *schema.Peer) bool { return p.Isolated })
+}
+
+// Served reports whether an entry host of a region that is ready or still serves reaches upstreams there, or no such
+// host is known.
+func (t *Table) Served(region string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := false
+	for _, p := range t.hosts {
+		if p.report.Region != region || !p.report.Ready && !p.report.Stopping {
+			continue
+		}
+		if !p.report.Isolated {
+			return true
+		}
+		known = true
+	}
+	return !known
+}
+
 // StoppingHosts returns the entry hosts of a region whose last report, not older than within, says
 // that they are stopping, sorted by name.
 func (t *Table) StoppingHosts(region string, within time.Duration) []*schema.Peer {
@@ -482,8 +505,8 @@
 func reportWithoutLoads(p *entryHost, now time.Duration) *schema.Peer {
 	return &schema.Peer{
 		Name: p.report.Name, Region: p.report.Region, Domain: p.report.Domain, Listen: p.report.Listen, Internal: p.report.Internal,
-		Incarnation: p.report.Incarnation, Number: p.report.Number, Ready: p.report.Ready, Stopping: p.report.Stopping, Age: (now - p.reportedAt).Seconds(),
-		Capacity: p.report.Capacity,
+		Incarnation: p.report.Incarnation, Number: p.report.Number, Ready: p.report.Ready, Stopping: p.report.Stopping,
+		Isolated: p.report.Isolated, Age: (now - p.reportedAt).Seconds(), Capacity: p.report.Capacity,
 	}
 }
 
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -137,7 +137,7 @@
 	shares := k.grantShares(r.Self)
 	if k.Table.StoreHost(r.Self, "") {
 		k.c.Log.Info().Str("peer", r.Self.Name).Uint64("incarnation", r.Self.Incarnation).Uint64("number", r.Self.Number).
-			Bool("ready", r.Self.Ready).Msg("entry host changed")
+			Bool("ready", r.Self.Ready).Bool("isolated", r.Self.Isolated).Msg("entry host changed")
 		k.requestConsult()
 	}
 	k.storeLimits(r)
--- a/internal/forwarder/assign.go
+++ b/internal/forwarder/assign.go
@@ -199,6 +199,9 @@
 func (f *Forwarder) poolState(x *index, pool string, loads []*schema.PoolLoad, digests []*schema.RegionDigest, now time.Duration) *poolState {
 	state := &poolState{slotsPerUnit: float64(max(1, x.snapshot.Pool(pool).GetEngine().GetSlots()))}
 	ownSlots, running := f.Scheduler.PoolCapacity(pool)
+	if !f.isServed(f.Region) {
+		ownSlots = 0
+	}
 	var demands []*schema.HomeDemand
 	for _, l := range loads {
 		if l.Pool == pool {
@@ -216,7 +219,7 @@
 				continue
 			}
 			slots := float64(p.Slots) - float64(p.Evacuated)
-			if f.monitor.isUnresponsive(d.Region, now) {
+			if f.monitor.isUnresponsive(d.Region, now) || !f.isServed(d.Region) {
 				slots = 0
 			}
 			state.add(d.Region, slots, float64(p.Running)+float64(p.Waiting), p.Demands)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -43,6 +44,9 @@
 // serveLocally sends a request to upstreams of this region, one after another, until one
 // answers or no further attempt is allowed.
 func (f *Forwarder) serveLocally(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState) error {
+	if f.Prober.Isolated() {
+		return prober.ErrIsolated // the host that serves the request counts it
+	}
 	if !r.counted {
 		r.counted = true
 		f.Budget.CountRequest(r.pool)
@@ -53,7 +57,7 @@
 			return err
 		}
 		queuedAt := f.Timer.Now()
-		reservation, err := f.Scheduler.Acquire(ctx, r.schedulerRequest(excluded))
+		reservation, err := f.acquire(ctx, r, excluded)
 		if err != nil {
 			return err
 		}
@@ -67,12 +71,30 @@
 			return nil
 		}
 		excluded[reservation.Name] = true
+		if ctx.Err() == nil && f.lostUpstreams(ctx, err) {
+			return errors.Join(prober.ErrIsolated, err)
+		}
 		if ctx.Err() != nil || !f.mayRetry(r, err, s) {
 			return err
 		}
 	}
 }
 
+// acquire reserves a slot for a request. It returns prober.ErrIsolated once the host is isolated, also for requests
+// that wait.
+func (f *Forwarder) acquire(ctx context.Context, r *Request, excluded map[string]bool) (*scheduler.Reservation, error) {
+	if f.Prober.Isolated() {
+		return nil, prober.ErrIsolated
+	}
+	connected, cancel := f.Prober.WhileConnected(ctx)
+	defer cancel()
+	reservation, err := f.Scheduler.Acquire(connected, r.schedulerRequest(excluded))
+	if err != nil && ctx.Err() == nil && connected.Err() != nil {
+		return nil, prober.ErrIsolated
+	}
+	return reservation, err
+}
+
 // checkSend returns an error if a request may not be sent to an upstream of this region, although it might be
 // when it arrived.
 func (f *Forwarder) checkSend(r *Request) error {
@@ -86,7 +108,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case s.headSent:
+	case s.headSent, errors.Is(err, errTruncated): // by an upstream here, or one of another host
 		return errors.Join(errTruncated, err)
 	case s.fallback != nil:
 		sink.SendHead(s.fallback.status, s.fallback.header, int64(len(s.fallback.body)))
@@ -145,8 +167,19 @@
 		}
 	})
 	stop := s.stopTimeout
+	sentAt := f.Timer.Now()
+	stopIsolated := f.Prober.AfterIsolated(func() {
+		// Existing connections may still work: the attempt has as long as upstreams have for any response.
+		wait := max(0, prober.SilenceTime-(f.Timer.Now()-sentAt))
+		f.Timer.Once(wait, func() {
+			if !s.responding.Load() && !f.Prober.Receiving() {
+				cancel(prober.ErrIsolated)
+			}
+		})
+	})
 	return ctx, func() {
 		stop()
+		stopIsolated()
 		cancel(nil)
 	}
 }
@@ -169,6 +202,8 @@
 		return scheduler.Answered
 	case errors.As(err, &refusal): // by checkSend
 		return scheduler.CallerLeft
+	case errors.Is(err, prober.ErrIsolated), errors.Is(context.Cause(ctx), prober.ErrIsolated): // it says nothing of the upstream
+		return scheduler.CallerLeft
 	case errors.Is(err, pooler.ErrNotSent):
 		return scheduler.Unreachable
 	case errors.Is(err, errMisdirected):
@@ -190,6 +225,7 @@
 	}
 	s.run = f.observe(r, reservation)
 	s.unframed, s.firstEventID = false, ""
+	s.responding.Store(false)
 	call, err := f.Pool.Send(ctx, reservation.Address, request, pooler.SendOptions{
 		ID: r.ID, RecentOnly: !r.repeatable(), Until: reservation.SendUntil,
 		Check: func() error { return f.checkSend(r) },
@@ -207,6 +243,7 @@
 		return errors.Join(errUpstreamFailed, err)
 	}
 	defer call.Close()
+	s.responding.Store(true)
 	s.unframed = call.Unframed()
 	err = f.receive(ctx, r, sink, reservation, s, a, call)
 	if err == nil && call.Unframed() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/configurer"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/resumer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
@@ -34,8 +35,10 @@
 	Log       zerolog.Logger
 	Scheduler *scheduler.Scheduler
 	Pool      *pooler.Pool
-	Bucket    *allocator.Bucket
-	Budget    *RetryBudget
+	// Prober knows whether this host reaches upstreams of its region. Nil: it always does.
+	Prober *prober.Prober
+	Bucket *allocator.Bucket
+	Budget *RetryBudget
 	// Observer relates ends of upstreams to requests, and Quarantine names requests and parts of
 	// prompts that crash upstreams. Both may be nil.
 	Observer   *quarantiner.Observer
@@ -72,6 +75,9 @@
 	OnBreakage func()
 	// EntryHosts returns the entry hosts of a region that requests may be relayed to.
 	EntryHosts func(region string) []*schema.Peer
+	// Served reports whether a host of a region, this one included, reaches upstreams there. Nil: all regions have
+	// such hosts.
+	Served func(region string) bool
 
 	// Adaptive reports whether work is assigned to regions by demand. Nil: it is not.
 	Adaptive func() bool
@@ -91,6 +97,7 @@
 	assignments   assignments
 	inflight      atomic.Int64
 	spools        spoolMetrics
+	silentPeers   silentPeers
 }
 
 // Configure replaces the configuration that requests are served by.
--- a/internal/forwarder/home.go
+++ b/internal/forwarder/home.go
@@ -212,7 +212,7 @@
 func (f *Forwarder) otherRegions(r *Request) []regionLoad {
 	var all []regionLoad
 	for _, d := range f.digests() {
-		if d.Region == f.Region || !r.allows(d.Region) || r.resumeRegions != nil && !slices.Contains(r.resumeRegions, d.Region) {
+		if d.Region == f.Region || !r.allows(d.Region) || !f.isServed(d.Region) || r.resumeRegions != nil && !slices.Contains(r.resumeRegions, d.Region) {
 			continue
 		}
 		for _, p := range d.Routes {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -9,7 +9,7 @@
 	callersLeft, truncated            prometheus.Counter
 	limitsInvalid, pauses, leavers    prometheus.Counter
 	breakages, responsesInvalid       prometheus.Counter
-	relaysWithheld                    prometheus.Counter
+	relaysWithheld, relaysToPeers     prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
 	slotWait                          prometheus.Histogram
 	// Of the assignment of demand to regions.
@@ -47,6 +47,9 @@
 		relaysWithheld: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "trefoil_relays_withheld_total", Help: "Relays not sent as the address reached another host.",
 		}),
+		relaysToPeers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "trefoil_relays_to_peers_total", Help: "Relays to hosts of the same region, as this host reached no upstream.",
+		}),
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "trefoil_request_seconds", Help: "Time from arrival to the end of the answer, by pool.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
@@ -60,5 +63,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait, m.weight, m.demand, m.capacity}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.relaysToPeers, m.requestTime, m.slotWait, m.weight, m.demand, m.capacity}
 }
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -9,6 +9,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -55,6 +56,7 @@
 	causeOriginUnknown      = "the version that began the stream is not known"
 	causeVersionGone        = "no upstream of the version that began the stream is left"
 	causeRequestQuarantined = "upstreams crashed under this request"
+	causeIsolated           = "the host reaches no upstream"
 )
 
 // learningSpread is the ratio of the time in which the leader learns what is in use to that over which the return of
@@ -102,6 +104,8 @@
 		return f
 	case errors.Is(err, scheduler.ErrNoUpstream):
 		return refuse(http.StatusServiceUnavailable, causeNoUpstream, unavailableRetryDelay)
+	case errors.Is(err, prober.ErrIsolated):
+		return refuse(http.StatusServiceUnavailable, causeIsolated, unavailableRetryDelay)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refuse(http.StatusServiceUnavailable, causeTimeout, 0)
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -29,12 +29,24 @@
 // again in the other region.
 const relayAgeMargin = time.Second
 
-var errRelayFailed = errors.New("forwarder: relay through another region failed")
+var errRelayFailed = errors.New("forwarder: relay through another host failed")
 
 // relay sends a request through one entry host of another region. After an error another region
 // may be asked unless r.mayHaveRun is set or the response has begun. With errNotHome nothing was sent.
 func (f *Forwarder) relay(ctx context.Context, region string, r *Request, sink Sink, t *trace) error {
 	hosts := f.hostsInRandomOrder(region)
+	for n := 1; ; n++ {
+		err := f.relayThrough(ctx, region, hosts, r, sink, t, func() {})
+		if n == maxPeers || len(hosts) < 2 || r.mayHaveRun || !isIsolated(err) {
+			return err
+		}
+		hosts = hosts[1:] // the host may have lost its upstreams since it last reported
+	}
+}
+
+// relayThrough is relay through the first of some hosts of a region that is the one it is known as. It calls
+// onReply with each reply.
+func (f *Forwarder) relayThrough(ctx context.Context, region string, hosts []*schema.Peer, r *Request, sink Sink, t *trace, onReply func()) error {
 	if len(hosts) == 0 {
 		return refuse(http.StatusServiceUnavailable, causeNoHome, unavailableRetryDelay)
 	}
@@ -55,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	return f.forwardReplies(r, sink, stream, region)
+	return f.forwardReplies(r, sink, replyWatch{stream, onReply}, region)
 }
 
 // checkRelay returns an error if a request may not be relayed to a region.
@@ -79,6 +91,16 @@
 	return nil
 }
 
+// connectRelay is connect with a timeout within this region, as another host may take the request.
+func (f *Forwarder) connectRelay(ctx context.Context, region string, conn *grpc.ClientConn) error {
+	if region == f.Region {
+		var cancel context.CancelFunc
+		ctx, cancel = f.withDeadline(ctx, f.Timer.Now()+peerTimeout)
+		defer cancel()
+	}
+	return connect(ctx, conn)
+}
+
 // openRelay sends a request to an entry host of another region, which is asked for its name first if a request
 // that is bound to regions is the first one on the connection.
 func (f *Forwarder) openRelay(ctx context.Context, region string, entry *schema.Peer, r *Request, t *trace) (grpc.ServerStreamingClient[schema.RelayReply], error) {
@@ -86,7 +108,7 @@
 	if err != nil {
 		return nil, errors.Join(errRelayFailed, err)
 	}
-	if err := connect(ctx, conn); err != nil {
+	if err := f.connectRelay(ctx, region, conn); err != nil {
 		return nil, errors.Join(errRelayFailed, err)
 	}
 	stream, err := f.sendRelay(ctx, conn, region, entry, r, t)
@@ -183,7 +205,7 @@
 		Id: r.ID, Route: r.Host, Customer: r.Customer(), Method: r.Method, Path: r.Path, Body: r.Body,
 		Left: (r.answerUntil - now).Seconds(), Age: (now - r.ArrivedAt).Seconds(), Objective: (r.objectiveAt - now).Seconds(), Pool: r.pool,
 		Input: r.InputTokens, Output: r.MaxOutputTokens, Priority: int32(r.priority), Model: r.Model, Version: r.configVersion, Leaving: r.lastResort,
-		Avoid: f.leavers.newest(now),
+		Avoid: f.leavers.newest(now), Sent: int32(r.attempts),
 	}
 	if f.Scheduler.IsAdaptive() {
 		m.Hint = r.HintTokens
@@ -214,6 +236,21 @@
 	return errors.Join(errRelayFailed, err)
 }
 
+// replyWatch calls onReply with each reply that is received.
+type replyWatch struct {
+	grpc.ServerStreamingClient[schema.RelayReply]
+	onReply func()
+}
+
+// Recv receives a reply.
+func (w replyWatch) Recv() (*schema.RelayReply, error) {
+	reply, err := w.ServerStreamingClient.Recv()
+	if err == nil {
+		w.onReply()
+	}
+	return reply, err
+}
+
 func (f *Forwarder) forwardReplies(r *Request, sink Sink, stream grpc.ServerStreamingClient[schema.RelayReply], region string) error {
 	headSent := false
 	var sequence replySequence
@@ -342,7 +379,7 @@
 	r := &Request{
 		ID: m.Id, Host: m.Route, Method: m.Method, Path: m.Path, Header: headerOf(m.Headers), Body: m.Body,
 		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, HintTokens: m.Hint, ArrivedAt: now - seconds(m.Age),
-		DeadlineAt: now + seconds(m.Left), relayed: true, lastResort: m.Leaving, priority: int(m.Priority), pool: m.Pool,
+		DeadlineAt: now + seconds(m.Left), relayed: true, attempts: int(m.Sent), sentBefore: int(m.Sent), lastResort: m.Leaving, priority: int(m.Priority), pool: m.Pool,
 	}
 	if m.Resume != nil {
 		r.LastEventID, r.Resumes, r.software = m.Resume.After, m.Resume.Request, &m.Resume.Software
@@ -441,7 +478,7 @@
 	notRun := f.Status == http.StatusServiceUnavailable || f.Status == http.StatusTooManyRequests
 	failure := &schema.Failure{
 		Status: int32(f.Status), Cause: f.Cause, Retry: f.RetryAfter.Seconds(), Notrun: notRun,
-		Sent: int32(s.request.attempts), Arrived: int32(s.request.reached),
+		Sent: int32(s.request.attempts - s.request.sentBefore), Arrived: int32(s.request.reached),
 	}
 	_ = s.send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -47,8 +47,9 @@
 	objectiveAt   time.Duration      // by which it should be answered, counted from the caller's first attempt
 	answerUntil   time.Duration      // earlier of the caller's deadline and the route's timeout
 	configVersion uint64             // of index
-	relayed       bool               // by an entry host of another region
+	relayed       bool               // by another entry host
 	attempts      int                // upstreams that it was sent to, without misdirected attempts
+	sentBefore    int                // upstreams that the relaying host sent it to
 	reached       int                // upstreams that received it, also those that rejected it
 	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/estimator"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 )
 
@@ -37,9 +38,13 @@
 		}
 	}
 	err := f.serveLocally(ctx, r, sink, t, s)
+	if errors.Is(err, prober.ErrIsolated) && ctx.Err() == nil {
+		err = f.serveThroughPeers(ctx, r, sink, t, s, err)
+	}
 	r.recordForecast(err)
-	noUpstream := errors.Is(err, scheduler.ErrNoUpstream) && !r.lastResort
-	if hasNoSlot(err) && r.reached == 0 && ctx.Err() == nil {
+	isolated := errors.Is(err, prober.ErrIsolated) && isNotServed(err)
+	noUpstream := (errors.Is(err, scheduler.ErrNoUpstream) || isolated) && !r.lastResort
+	if hasNoSlot(err) && r.reached == 0 && !r.mayHaveRun && ctx.Err() == nil {
 		err = f.serveRemotely(ctx, r, sink, t, err)
 	}
 	if noUpstream && r.reached == 0 && isNotServed(err) && ctx.Err() == nil {
@@ -48,19 +53,24 @@
 	return err
 }
 
-// hasNoSlot reports whether err means that this region has no slot for a request, which is then relayed.
+// hasNoSlot reports whether err means that this region has no slot for a request, or none that this host reaches:
+// it is then relayed.
 func hasNoSlot(err error) bool {
-	return errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot)
+	return errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, scheduler.ErrNoSlot) || errors.Is(err, prober.ErrIsolated)
 }
 
 // serveAsLastResort sends a request that nothing else serves to an upstream of this region that is leaving.
 // If there is none that still takes it, it returns reason.
 func (f *Forwarder) serveAsLastResort(ctx context.Context, r *Request, sink Sink, t *trace, s *responseState, reason error) error {
 	r.lastResort = true
-	if err := f.serveLocally(ctx, r, sink, t, s); !errors.Is(err, scheduler.ErrNoUpstream) {
-		return err
+	err := f.serveLocally(ctx, r, sink, t, s)
+	if errors.Is(err, prober.ErrIsolated) && ctx.Err() == nil {
+		err = f.serveThroughPeers(ctx, r, sink, t, s, err)
 	}
-	return reason
+	if errors.Is(err, scheduler.ErrNoUpstream) || errors.Is(err, prober.ErrIsolated) {
+		return reason
+	}
+	return err
 }
 
 // isNotServed reports whether err means that no upstream was found for a request, here or in another
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
@@ -45,6 +46,8 @@
 	run *quarantiner.Run
 	// fallback is an upstream's error response, for the caller if no attempt gets a better one.
 	fallback *failedResponse
+	// responding is set once the head of the present attempt's response was received.
+	responding atomic.Bool
 	// stopTimeout stops the timer that limits the wait for the beginning of a response; nil if
 	// none was started.
 	stopTimeout func()
--- a/internal/forwarder/trace.go
+++ b/internal/forwarder/trace.go
@@ -86,7 +86,7 @@
 	t.withFields(t.f.Log.Info()).Str("software", o.Software).Str("source", source).Strs("regions", t.r.resumeRegions).Msg("stream taken up")
 }
 
-// logRelayed logs that the request is relayed to a host of another region.
+// logRelayed logs that the request is relayed to another host.
 func (t *trace) logRelayed(region, host string) {
 	t.withHomes(t.f.Log.Info()).Str("region", region).Str("host", host).Msg("passed to another region")
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -22,6 +22,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -70,6 +71,9 @@
 	ErrMalformedResponse = errors.New("pooler: malformed response")
 )
 
+// ErrNoConnection says that no connection could be opened.
+var ErrNoConnection = errors.New("pooler: no connection could be opened")
+
 // ErrRefused says that no process listens at an address.
 var ErrRefused = errors.New("pooler: connection refused")
 
@@ -85,6 +89,9 @@
 	Timer *timer.Service
 	// OnDial is called after each new connection is established. Nil: not called.
 	OnDial func(address string)
+	// Prober is told what connections show, and ends attempts to open one while the host is isolated. Nil: no one is
+	// told.
+	Prober *prober.Prober
 	// Buffers bounds the memory for the heads of responses. Nil: unlimited.
 	Buffers *bufferer.Budget
 	// Log gets a line when writing a request panics.
@@ -111,6 +118,7 @@
 // maxHeadLines lines are read, or if the Budget of hold is exhausted.
 type boundedReader struct {
 	r         io.Reader
+	prober    *prober.Prober
 	hold      *bufferer.Hold
 	remaining int
 	lines     int
@@ -125,6 +133,9 @@
 	}
 	n, err := b.read(p)
 	b.err = err
+	if n > 0 {
+		b.prober.RecordReceived()
+	}
 	return n, err
 }
 
@@ -200,6 +211,7 @@
 		}
 	}
 	c.used = true
+	p.Prober.RecordSent()
 	call := &Call{id: o.ID, pool: p, conn: c, Reused: reused, writeDone: make(chan error, 1)}
 	call.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	if err := call.write(r); err != nil {
@@ -451,10 +463,26 @@
 		}
 		_ = c.Conn.Close()
 	}
-	c, err = p.dial(ctx, address)
+	c, err = p.dialConnected(ctx, address)
 	return c, false, err
 }
 
+// dialConnected opens a connection unless the host is isolated, or becomes so meanwhile.
+func (p *Pool) dialConnected(ctx context.Context, address string) (*conn, error) {
+	dialCtx, cancel := p.Prober.WhileConnected(ctx)
+	defer cancel()
+	c, err := p.dial(dialCtx, address)
+	switch {
+	case err == nil:
+		return c, nil
+	case errors.Is(context.Cause(dialCtx), prober.ErrIsolated):
+		err = fmt.Errorf("%w: %w", prober.ErrIsolated, err)
+	case ctx.Err() == nil:
+		p.Prober.RecordFailed()
+	}
+	return nil, fmt.Errorf("%w: %w", ErrNoConnection, err)
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	openedAt := p.Timer.Now()
 	d := net.Dialer{Timeout: dialTimeout, Control: setSocketOptions, KeepAlive: -1}
@@ -467,7 +495,7 @@
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	source := &boundedReader{r: n}
+	source := &boundedReader{r: n, prober: p.Prober}
 	return &conn{Conn: n, openedAt: openedAt, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, nil
 }
 
--- a/internal/scheduler/breakage.go
+++ b/internal/scheduler/breakage.go
@@ -88,6 +88,14 @@
 	return false
 }
 
+// CancelProbe records that the connection that was opened after RecordBroken shows nothing.
+func (p *Reservation) CancelProbe() {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.upstream.conns.probing = false
+}
+
 // RecordServing records that something was received on a connection that was opened at a time.
 func (p *Reservation) RecordServing(openedAt time.Duration) {
 	s := p.scheduler
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -139,6 +139,7 @@
 	failureRate   float64
 	failureStreak int
 	bannedUntil   time.Duration
+	bannedFor     Outcome // what bannedUntil was set for last
 	// coldUntil is the time at which the upstream stops being cold; until then it gets no
 	// request before nextAllowedAt.
 	coldUntil     time.Duration
@@ -379,6 +380,22 @@
 	u.delayFactor = math.Min(maxDelayFactor, math.Max(minDelayFactor, u.delayFactor*(1+step)))
 }
 
+// ForgetFailures forgets failures that the host's loss of its way to all upstreams may have caused. Call it when that
+// begins and ends. The host owns no cold or limited upstream then, as others took them over.
+func (s *Scheduler) ForgetFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		if u.bannedFor == Unreachable || u.bannedFor == Failed {
+			u.failureRate, u.failureStreak, u.bannedUntil = 0, 0, 0
+		}
+		if !u.conns.ended { // an end was confirmed by connections to others
+			u.conns = connState{probedAt: u.conns.probedAt, probing: u.conns.probing}
+		}
+		u.ownedSince, u.limit.ownerSince = 0, 0
+	}
+}
+
 // recordOutcome updates the failure rate and the time until which the upstream is avoided.
 func (u *upstream) recordOutcome(o Outcome, now time.Duration) {
 	switch o {
@@ -386,14 +403,17 @@
 		u.failureRate -= failureWeight * u.failureRate
 		u.failureStreak = 0
 	case Failed, Unreachable:
+		u.bannedFor = o
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.failureStreak++
 		if u.failureStreak >= 3 || o == Unreachable {
 			u.bannedUntil = now + min(maxBanDuration, baseBanDuration<<min(u.failureStreak, 5))
 		}
 	case Replaced:
+		u.bannedFor = o
 		u.bannedUntil = now + maxBanDuration
 	case Rejected:
+		u.bannedFor = o
 		u.bannedUntil = max(u.bannedUntil, now+baseBanDuration/2)
 	}
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -22,6 +22,7 @@
 	"github.com/trefoilloft/trefoilloft/internal/distributor"
 	"github.com/trefoilloft/trefoilloft/internal/forwarder"
 	"github.com/trefoilloft/trefoilloft/internal/pooler"
+	"github.com/trefoilloft/trefoilloft/internal/prober"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/refresher"
 	"github.com/trefoilloft/trefoilloft/internal/resumer"
@@ -80,6 +81,7 @@
 	scheduler   *scheduler.Scheduler
 	estimates   *scheduler.EstimateMetrics
 	pool        *pooler.Pool
+	prober      *prober.Prober
 	bucket      *allocator.Bucket
 	dialer      *dialer.Dialer
 	incarnation uint64 // start time of the process, Unix nanoseconds
@@ -109,16 +111,18 @@
 	e.bucket = &allocator.Bucket{Now: e.Timer.Now, LoansOnly: true, Limits: func(customer string) (allocator.Limits, bool) {
 		return LimitsOf(e.distributor.Current(), customer)
 	}, Adaptive: func() bool { return e.adaptive(e.Table) }}
-	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.readyHostCount,
+	e.scheduler = &scheduler.Scheduler{Timer: e.Timer, DrainTime: e.DrainTime, Config: e.distributor.Current, OwnsCold: e.ownsColdUpstream, OwnerRank: e.ownerRank, HostCount: e.connectedHostCount,
 		Region: e.Settings.Region, OwnDemand: func(pool string) ([]*schema.HomeDemand, bool) { return e.Forwarder.ReportedDemand(pool) },
 		Adaptive: func() bool { return e.adaptive(e.Table) }} // without FairQueue: it served fewer requests in time on a heavy day
 	e.estimates = scheduler.NewEstimateMetrics(e.scheduler)
 	e.Requests = e.newBudget()
 	responses := e.newBudget()
-	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log}
+	e.prober = &prober.Prober{Timer: e.Timer, Log: e.Log, Addresses: e.upstreamAddresses, OnChange: e.applyIsolation, Metrics: prober.NewMetrics()}
+	e.pool = &pooler.Pool{Timer: e.Timer, Buffers: responses, Log: e.Log, Prober: e.prober}
+	e.prober.Open = e.pool.Probe
 	quarantine := &quarantiner.Register{Now: e.Timer.Now}
 	observer := &quarantiner.Observer{
-		Timer: e.Timer, Log: e.Log, Refused: e.pool.Refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
+		Timer: e.Timer, Log: e.Log, Refused: e.refused, State: e.processState, OnEnd: func() { e.refresher.ReportNow() },
 	}
 	streams := &resumer.Index{Now: e.Timer.Now, MaxStreams: maxEntryStreams}
 	e.refresher = &refresher.Refresher{
@@ -135,8 +139,8 @@
 	e.RetryBudget.Hosts = func() int { return len(e.Table.ReadyHosts("")) }
 	e.Forwarder = &forwarder.Forwarder{
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
-		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses, SlowCallers: e.Contended,
-		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
+		Pool: e.pool, Prober: e.prober, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses, SlowCallers: e.Contended,
+		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Served: e.served, Borrow: e.refresher.Borrow,
 		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
 		OnBreakage: func() {
 			e.refresher.SendStreams(true)
@@ -190,6 +194,7 @@
 	defer stopDispatch()
 	stopPrune := e.Timer.Every(connectionPruneInterval, e.pruneConnections)
 	defer stopPrune()
+	defer e.prober.Start()()
 	e.Log.Info().Str("region", e.Settings.Region).Str("domain", e.Settings.Domain).Msg("entry host started")
 	err = g.Run()
 	e.Log.Info().Err(err).Msg("entry host stopped")
@@ -231,7 +236,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.capacities.unusable, e.capacities.lengths, e.fractions.gauge, e.estimates})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.prober.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.capacities.unusable, e.capacities.lengths, e.fractions.gauge, e.estimates})
 }
 
 // Stopping reports whether the process is shutting down.
@@ -259,7 +264,7 @@
 // selectHosts returns the hosts that callers of a region may use for a host name, and which they are.
 func (e *Entry) selectHosts(name, region string) (listSource, []*schema.Peer) {
 	if region != "" { // the table takes an empty one for all regions
-		if hosts := e.withOwnState(region, e.Table.ReadyHosts(region)); len(hosts) > 0 {
+		if hosts := preferConnected(e.withOwnState(region, e.Table.ReadyHosts(region))); len(hosts) > 0 {
 			return listReady, hosts
 		}
 		if hosts := e.Table.StoppingHosts(region, e.GracePeriod-stoppingListMargin); len(hosts) > 0 {
@@ -278,9 +283,9 @@
 	if !known {
 		return nil
 	}
-	return slices.DeleteFunc(e.withOwnState("", e.Table.ReadyHosts("")), func(p *schema.Peer) bool {
+	return preferConnected(slices.DeleteFunc(e.withOwnState("", e.Table.ReadyHosts("")), func(p *schema.Peer) bool {
 		return homes != nil && !slices.Contains(homes, p.Region)
-	})
+	}))
 }
 
 // describeList adds to a log line how many hosts of each region a list holds, and how old the configuration
@@ -304,13 +309,13 @@
 		Dur("table", e.Table.FollowAge()).Dur("observed", e.Table.Observed(false))
 }
 
-// relayHosts returns the entry hosts of a region that requests may be relayed to: ready ones; if there are
-// none, those that are stopping but still serve.
+// relayHosts returns the entry hosts of a region that requests may be relayed to: ready ones that reach its
+// upstreams; if there are none, such hosts that are stopping but still serve.
 func (e *Entry) relayHosts(region string) []*schema.Peer {
-	if ready := e.Table.ReadyHosts(region); len(ready) > 0 {
-		return ready
+	if connected := e.Table.ConnectedHosts(region); len(connected) > 0 {
+		return connected
 	}
-	return e.Table.StoppingHosts(region, e.GracePeriod-graceMargin)
+	return slices.DeleteFunc(e.Table.StoppingHosts(region, e.GracePeriod-graceMargin), isIsolated)
 }
 
 func addressesOf(hosts []*schema.Peer) []string {
@@ -327,7 +332,7 @@
 	name := e.Settings.Name
 	entryHosts = slices.DeleteFunc(entryHosts, func(p *schema.Peer) bool { return p.Name == name })
 	if e.Ready() && (region == "" || region == e.Settings.Region) {
-		entryHosts = append(entryHosts, &schema.Peer{Name: name, Region: e.Settings.Region, Domain: e.Settings.Domain, Listen: e.Settings.Listen, Capacity: e.Capacity})
+		entryHosts = append(entryHosts, &schema.Peer{Name: name, Region: e.Settings.Region, Domain: e.Settings.Domain, Listen: e.Settings.Listen, Capacity: e.Capacity, Isolated: e.prober.Isolated()})
 	}
 	return entryHosts
 }
@@ -337,7 +342,7 @@
 	s := e.Settings
 	return &schema.Peer{
 		Name: s.Name, Region: s.Region, Domain: s.Domain, Listen: s.Listen, Internal: s.Internal,
-		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Loads: e.Forwarder.WithDemands(e.scheduler.OwnLoads()),
+		Incarnation: e.incarnation, Ready: e.Ready(), Stopping: e.Stopping(), Isolated: e.prober.Isolated(), Loads: e.Forwarder.WithDemands(e.scheduler.OwnLoads()),
 		Capacity: e.Capacity,
 	}
 }
@@ -374,10 +379,10 @@
 }
 
 // ownsColdUpstream reports whether this host is the one of its region that sends requests to
-// a cold upstream: the ready host with the highest hash for the upstream (rendezvous hashing).
+// a cold upstream: the ready host that reaches upstreams with the highest hash for the upstream (rendezvous hashing).
 func (e *Entry) ownsColdUpstream(upstream string) bool {
 	owner, maxHash := "", uint64(0)
-	for _, p := range e.Table.ReadyHosts(e.Settings.Region) {
+	for _, p := range e.Table.ConnectedHosts(e.Settings.Region) {
 		if hash := xxhash.Sum64String(p.Name + "/" + upstream); owner == "" || hash > maxHash {
 			owner, maxHash = p.Name, hash
 		}
@@ -386,11 +391,11 @@
 }
 
 // ownerRank returns the rank of this host by its hash for an upstream, from 0, among the ready hosts of
-// its region, and their number. A host that is not ready ranks last.
+// its region that reach its upstreams, and their number. Any other host ranks last.
 func (e *Entry) ownerRank(upstream string) (rank, hosts int) {
 	own := xxhash.Sum64String(e.Settings.Name + "/" + upstream)
 	ready := false
-	for _, p := range e.Table.ReadyHosts(e.Settings.Region) {
+	for _, p := range e.Table.ConnectedHosts(e.Settings.Region) {
 		hosts++
 		switch hash := xxhash.Sum64String(p.Name + "/" + upstream); {
 		case p.Name == e.Settings.Name:
@@ -405,8 +410,8 @@
 	return rank, hosts
 }
 
-// readyHostCount returns how many entry hosts share the upstreams of this region.
-func (e *Entry) readyHostCount() int { return len(e.Table.ReadyHosts(e.Settings.Region)) }
+// connectedHostCount returns how many entry hosts share the upstreams of this region.
+func (e *Entry) connectedHostCount() int { return len(e.Table.ConnectedHosts(e.Settings.Region)) }
 
 // processState returns what the table knows of an upstream's process.
 func (e *Entry) processState(u quarantiner.Upstream) quarantiner.State {
