Unframed responses are whole only if the connection was not reset

Callers got a part of an answer as a whole one: an upstream answered a long upload with a response that has neither a length nor chunks, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel returns the error of a reset once. If the write of the upload takes it, the next read returns the end of the stream, as after a close, and the body counts as complete. The witness shows that the process lives, which it does. An upstream that closes with an empty receive buffer sends a FIN and then a reset, so the end of the stream may also be read just before the reset.

closer.Conn returns io.EOF only while the connection is half open, which a FIN leaves it and a reset or a timeout does not, whoever took its error. The pool reads through it, so that streams, whole and long answers, rejections and failures are all covered.

Upstreams that answer before they read the request lose nothing if they read it before or after, or half-close: TestEarlyResponse. One that closes with the request unread cannot be told from one that breaks off.

--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -21,6 +21,9 @@
 // errProcessEnded means that the end of a response may be that of the upstream's process.
 var errProcessEnded = errors.New("forwarder: the upstream's process may have ended")
 
+// errReset means that the upstream reset the connection with which a response ended.
+var errReset = errors.New("forwarder: the upstream reset the connection of the response")
+
 // endCheck finds out whether a response that states neither a length nor chunks ended by itself. The sockets of a
 // killed process are closed as after a whole response, so another connection to the same process is kept beside
 // it: the response is whole only if that one stays open. Close must be called.
@@ -110,6 +113,8 @@
 		err = errProcessEnded
 	case err == nil && !c.witness.Outlives(ctx):
 		err = errProcessEnded
+	case err == nil && c.call.Failed(): // the reset may arrive just after the close
+		err = errReset
 	case err == nil && c.f.Timer.Now()-c.witness.OpenedAt() < witnessTimeout:
 		// A connection that was opened while the process closed its listener may stay open without it.
 		err = c.probe(ctx)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/closer"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -331,7 +332,8 @@
 }
 
 // Read reads the body of the response. It returns io.EOF only at the end of a complete body;
-// any other error wraps ErrConnectionLost.
+// any other error wraps ErrConnectionLost. An unframed body is complete if the upstream closed
+// the connection and did not reset it.
 func (c *Call) Read(b []byte) (int, error) {
 	n, err := c.Response.Body.Read(b)
 	switch {
@@ -368,6 +370,10 @@
 	return err == nil && open
 }
 
+// Failed reports whether the connection was reset, timed out or closed by this end. It may be called concurrently with
+// the other methods.
+func (c *Call) Failed() bool { return closer.Failed(c.conn.Conn) }
+
 // Abort closes the connection, so that a Read in progress and all later ones fail. It may be called
 // concurrently with the other methods.
 func (c *Call) Abort() { _ = c.conn.Conn.Close() }
@@ -467,7 +473,7 @@
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	source := &boundedReader{r: n}
+	source := &boundedReader{r: &closer.Conn{Conn: n}}
 	return &conn{Conn: n, openedAt: openedAt, source: source, reader: bufio.NewReaderSize(source, bufferBytes), address: address}, nil
 }
 
