Older interface: rejections are whole only if the connection was not reset

Callers of the older interface got part of the text of a rejection that has neither a length nor chunks, because the engine reset the connection while a long request was being written.

Completions were not affected, as they need their end marker, or whole JSON with their id; nor were services, whose answers need a length or chunks.

The requester dials closer.Conn. A rejection that is cut off counts as a failed attempt, and the request goes to another engine.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/closer"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
@@ -62,8 +63,15 @@
 
 func newTransport() *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		n, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &closer.Conn{Conn: n}, nil
+	}
 	return &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
