Answer requests that a stopping process has read

Callers of a stopping host saw their connection end without an answer although the whole request had been read: the first request of a connection that was accepted before the listener closed, and one that arrived on a kept connection just as that was closed.

Cause: http.Server.Shutdown. From its beginning net/http closes a connection whose request it has read without calling the handler, although connections that have sent nothing stay open until the timeout, here for up to the rest of the grace period; and it closes connections that it still counts as idle while their request is being read. Forwarder.Close refuses such requests with 503, but its refusal was never reached.

Listener.Drain takes the place of Shutdown. It closes the listener and lets the reads of idle connections expire: a read that has its data by then returns it and is served, one that has none leaves it unread. Connections of which a request has begun end after its response, which says so. http.Server.Close then closes what is left at the timeout.

The older interface stops in the same way 5 s after its hosts have left the lists; it is left as it is here.

--- a/internal/accepter/conn.go
+++ b/internal/accepter/conn.go
@@ -142,7 +142,7 @@
 		return true
 	}
 	c.last, c.before = tally{}, tally{}
-	if c.phase == idle && c.deadlines == 1 {
+	if c.awaitsRequest() {
 		c.charge = 0
 		g.refund(c)
 	}
@@ -150,17 +150,25 @@
 }
 
 // SetReadDeadline sets the deadline of reads. net/http sets one after a response, then waits for the next request,
-// then sets one for its head: a read in between shows that its buffer holds nothing of that head.
+// then sets one for its head: a read in between shows that its buffer holds nothing of that head. While the listener
+// is drained, the connection does not wait for a request.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	g := c.listener.Gate
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if c.phase == idle {
 		c.deadlines++
 	}
-	g.mu.Unlock()
+	if c.awaitsRequest() && c.listener.draining {
+		t = expired
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// awaitsRequest reports whether the server waits for a request of which it has read nothing, after the first one. The
+// caller holds Gate.mu.
+func (c *Conn) awaitsRequest() bool { return c.phase == idle && c.deadlines == 1 }
+
 // isClosed reports whether the connection is closed, or will be. The caller holds Gate.mu.
 func (c *Conn) isClosed() bool { return c.phase == closing || c.phase == lingering || c.phase == gone }
 
@@ -321,6 +329,13 @@
 	return true
 }
 
+// isLast reports whether the connection ends after the request that runs.
+func (c *Conn) isLast() bool {
+	c.listener.Gate.mu.Lock()
+	defer c.listener.Gate.mu.Unlock()
+	return c.listener.draining
+}
+
 // CloseWrite closes the connection for writing, where it is one that can be.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/accepter/listener.go
+++ b/internal/accepter/listener.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 )
 
 // Listener accepts connections that its Gate bounds. Set the exported fields before use.
@@ -20,8 +23,9 @@
 	// what callers send through TLS. The server must not use TLS itself.
 	TLS *tls.Config
 
-	count  count // guarded by Gate.mu
-	closed bool  // guarded by Gate.mu
+	count    count // guarded by Gate.mu
+	closed   bool  // guarded by Gate.mu
+	draining bool  // guarded by Gate.mu
 }
 
 // Accept waits for a connection for which there is room. One for which there is none is closed, with an answer that
@@ -58,6 +62,38 @@
 	return l.Listener.Close()
 }
 
+// Drain closes the listener, and then its connections: those of which nothing was read since their last response at
+// once, the others when their request has its response. It waits until all are closed, or ctx ends. Unlike
+// http.Server.Shutdown, it leaves no request that was read without a response.
+func (l *Listener) Drain(ctx context.Context) error {
+	err := l.Close()
+	g := l.Gate
+	stop := context.AfterFunc(ctx, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.changed.Broadcast()
+	})
+	defer stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.draining = true
+	for c := g.lists[idle].first; c != nil; c = c.next {
+		if c.listener == l && c.awaitsRequest() {
+			_ = c.Conn.SetReadDeadline(expired) // fails only if the connection has ended
+		}
+	}
+	for l.count.open > 0 {
+		if ctx.Err() != nil {
+			return errors.Join(err, fmt.Errorf("accepter: %d connections of the %s listener are open: %w", l.count.open, l.Name, ctx.Err()))
+		}
+		g.changed.Wait()
+	}
+	return err
+}
+
+// expired is a read deadline in the past. A read that has its data by then returns it.
+var expired = time.Unix(1, 0)
+
 // addressOf returns the IP address of a connection's peer; the zero value if it has none.
 func addressOf(c net.Conn) netip.Addr {
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
@@ -81,8 +117,13 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) }
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// A head may be complete just as its connection is closed for another. Its caller was told that it has not run.
-		if c, ok := r.Context().Value(contextKey{}).(*Conn); ok && !c.begin() {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(contextKey{}).(*Conn); ok {
+			if !c.begin() {
+				panic(http.ErrAbortHandler)
+			}
+			if c.isLast() {
+				w.Header().Set("Connection", "close")
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
--- a/internal/starter/options.go
+++ b/internal/starter/options.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -185,13 +186,14 @@
 // httpServer serves one Listener.
 type httpServer struct {
 	name     string
-	listener net.Listener
+	listener *accepter.Listener
 	server   *http.Server
+	stopping atomic.Bool
 	closed   chan struct{} // closed once no request is served any more
 	close    func()
 }
 
-func newHTTPServer(name string, l net.Listener, server *http.Server) *httpServer {
+func newHTTPServer(name string, l *accepter.Listener, server *http.Server) *httpServer {
 	h := &httpServer{name: name, listener: l, server: server, closed: make(chan struct{})}
 	h.close = sync.OnceFunc(func() {
 		_ = server.Close()
@@ -229,7 +231,7 @@
 // serve serves until the server is closed. It does not return while shutdownAll waits for requests, as
 // the end of one component ends the others.
 func (h *httpServer) serve() error {
-	if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) && !h.stopping.Load() {
 		return fmt.Errorf("starter: serving %s: %w", h.name, err)
 	}
 	<-h.closed
@@ -244,7 +246,8 @@
 	var wg sync.WaitGroup
 	for _, h := range all {
 		wg.Go(func() {
-			if err := h.server.Shutdown(ctx); err != nil {
+			h.stopping.Store(true)
+			if err := h.listener.Drain(ctx); err != nil {
 				log.Warn().Err(err).Str("listener", h.name).Msg("requests cut off at the end of the process")
 			}
 		})
