Keep within what brittle upstreams can turn away

What callers could see: while a service's upstreams are brittle, they fail one after the other under load, come back, get all hosts' requests at once and fail again; requests that run there are broken off.

Cause: no part of the system read how many requests an upstream can turn away in a second. Hosts fill slots and queues by reports that are 0.2 to 0.5 s old, and a request that does not fit is turned away by one upstream after the other.

Evidence: TestBrittleUpstreamsKeepUp, with all upstreams counted as sound (the code as it was): "brittle upstreams failed 48 times as they had to turn requests away, want at most 2" (services, 1 host; 45 to 54 over 30 and 300 hosts and N = 1, 5, 20; engines 31 to 51, but 0 at one host and 0 to 18 at 30 hosts with memory to spare). TestTurnedAwayByBrittleUpstream: a request is turned away twice.

Change: answers tell, and control hosts spread, that an upstream is brittle. Each host then has an equal part of 0.9 of its slots, or of the requests that fit into its memory; of more hosts than slots, those that rank first by a hash have one each. So the sum stays below what the upstream has room for however old the reports are. A host that is turned away stops for as long as keeps all of them below N together, and the room shrinks for all. A request that was turned away goes to no other brittle upstream. A new process of the pool counts as brittle until it has answered.

Without brittle upstreams nothing is computed. Not shown with real processes.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -90,7 +90,8 @@
 	// at which its report was last forwarded; 0: not since its last change.
 	direct      bool
 	forwardedAt time.Duration
-	limit       *namedLimit // nil if it named none
+	limit       *namedLimit  // nil if it named none
+	brittleness *brittleness // nil if it never said that it is brittle
 	leaving     leavingTime
 	saidAt      time.Duration // when an entry host last reported an answer that says that it is leaving; 0: never
 	// broken is set if the connections of a host to the process broke, at brokenAt the last time.
@@ -150,17 +151,18 @@
 		// The upstream does not say which of its processes ended: it is the known one.
 		a.Incarnation = old.report.Incarnation
 	}
-	limit, reported, broken := a.Limit, reportedLeaving(a, now), a.Broken
-	a.Limit, a.Since, a.Claim, a.Broken = nil, nil, 0, nil
+	limit, brittleness, reported, broken := a.Limit, a.Brittleness, reportedLeaving(a, now), a.Broken
+	a.Limit, a.Brittleness, a.Since, a.Claim, a.Broken = nil, nil, nil, 0, nil
 	t.versions.record(a.Pool, a.Software, reportedAt)
 	if old != nil && !newerUpstream(a, old.report) {
 		if a.Incarnation != old.report.Incarnation {
 			return false
 		}
-		// The limit, which comes from answers, the time at which the upstream began to leave and what hosts
+		// The limit and the brittleness, which come from answers, the time at which the upstream began to leave and what hosts
 		// saw of it are no parts of its report: they may change while that does not.
 		changed := t.storeLeaving(old, a.Leaving, reported)
 		changed = t.storeBroken(old, broken) || changed
+		changed = brittleness != nil && t.storeBrittleness(old, brittleness, false) || changed
 		return limit != nil && t.storeLimit(old, limit, false) || changed
 	}
 	if !t.claimAddress(a) {
@@ -177,7 +179,7 @@
 		updated.reportedAt = max(reportedAt, old.reportedAt)
 		updated.forwardedAt = old.forwardedAt
 		updated.revision = old.revision
-		updated.limit = old.limit
+		updated.limit, updated.brittleness = old.limit, old.brittleness
 		updated.saidAt = old.saidAt
 		updated.broken, updated.brokenAt, updated.breakageAt = old.broken, old.brokenAt, old.breakageAt
 	}
@@ -195,6 +197,9 @@
 	if limit != nil {
 		changed = t.storeLimit(updated, limit, false) || changed
 	}
+	if brittleness != nil {
+		changed = t.storeBrittleness(updated, brittleness, false) || changed
+	}
 	return changed
 }
 
@@ -468,6 +473,9 @@
 	if u.limit != nil {
 		a.Limit = u.limit.withAge(u.report, now)
 	}
+	if u.brittleness != nil {
+		a.Brittleness = u.brittleness.withAge(u.report, now)
+	}
 	if u.leaving.known() {
 		a.Since, a.Claim = proto.Float64((now - u.leaving.at).Seconds()), u.leaving.claim
 	}
--- a/internal/cataloger/fuzz_test.go
+++ b/internal/cataloger/fuzz_test.go
@@ -25,6 +25,7 @@
 		a := newReport("u", 2, 1, "x:1")
 		a.Age, a.Cold, a.Left, a.Leaving, a.Since, a.Broken, a.Claim = age, age, age, true, &age, &age, 1
 		a.Limit = &schema.NamedLimit{Upstream: "u", Incarnation: 2, Rate: age, Age: age}
+		a.Brittleness = &schema.Brittleness{Upstream: "u", Incarnation: 2, Rejections: age, Age: age, Rejected: &age, Room: age}
 		add(a, &schema.Peer{Name: "h", Region: "r", Age: age, Incarnation: 1, Number: 1, Ready: true})
 	}
 	add(&schema.Announcement{}, &schema.Peer{})
@@ -73,6 +74,7 @@
 			table.LeavingUntil()
 			table.BrokenAt()
 			table.Limits()
+			table.Brittleness()
 			table.ReportsToForward()
 		}
 		clock.Advance(10 * time.Minute)
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -330,6 +330,7 @@
 		Region: k.Self.Region, Address: k.Self.Address, Upstreams: upstreams, Peers: hosts, Cursor: k.cursor, Process: k.process,
 		Loads: k.Table.DirectLoads(), Lender: k.demandReport(), Findings: k.findings.Request(k.process),
 		Limits: k.Table.LimitsToForward(), Leavers: k.Table.LeaversToForward(), Breakages: k.Table.BreakagesToForward(),
+		Brittleness: k.Table.BrittlenessToForward(),
 	})
 	if err != nil || !reply.Leader {
 		k.Table.ResetForwarded()
--- a/internal/controller/clusterservice.go
+++ b/internal/controller/clusterservice.go
@@ -69,6 +69,9 @@
 	for _, l := range r.Limits {
 		k.Table.StoreLimit(l, false)
 	}
+	for _, b := range r.Brittleness {
+		k.Table.StoreBrittleness(b, false)
+	}
 	k.storeLeavers(r.Leavers, r.Address)
 	k.storeBreakages(r.Breakages, r.Address)
 	k.Table.StoreLoads(r.Address, r.Loads)
@@ -141,6 +144,7 @@
 		k.requestConsult()
 	}
 	k.storeLimits(r)
+	k.storeBrittleness(r)
 	k.storeLeavers(r.Leavers, r.Self.Name)
 	k.storeBreakages(r.Breakages, r.Self.Name)
 	reply := &schema.RefreshReply{Age: -1, Standing: shares}
@@ -211,3 +215,14 @@
 		}
 	}
 }
+
+// storeBrittleness stores what upstreams said in answers to an entry host of being brittle.
+func (k *Cluster) storeBrittleness(r *schema.RefreshRequest) {
+	for _, b := range r.Brittleness {
+		if k.Table.StoreBrittleness(b, true) {
+			k.c.Log.Info().Str("upstream", b.Upstream).Uint64("incarnation", b.Incarnation).Float64("rejections", b.Rejections).Bool("ended", b.Ended).
+				Float64("age", b.Age).Float64("room", b.Room).Str("from", r.Self.Name).Msg("brittleness of the upstream learned")
+			k.requestConsult()
+		}
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -225,6 +225,7 @@
 		reservation.RecordServing(call.OpenedAt())
 	}
 	f.recordLimit(r, reservation, verdict, call.Response.Header)
+	f.recordBrittleness(r, reservation, verdict, call.Response.Header)
 	f.recordPause(r, reservation, verdict, call.Response)
 	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
 	switch verdict {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,9 @@
 	SlowCallers bool
 	// OnLimit is called after the limit that an upstream names has changed. Nil: not called.
 	OnLimit func()
+	// OnBrittle is called after an upstream said that it is brittle, or no longer is, or turned a request away while it
+	// is. Nil: not called.
+	OnBrittle func()
 	// ConfirmationAge returns the time since the configuration was last confirmed as the
 	// newest; false if it never was.
 	ConfirmationAge func() (time.Duration, bool)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -54,6 +54,15 @@
 	return Valid
 }
 
+func (testProtocol) Brittleness(h http.Header) (float64, bool, error) {
+	value := h.Get("Brittle")
+	if value == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	return n, true, err
+}
+
 func (testProtocol) NamedLimit(h http.Header) (float64, error) {
 	if h.Get("Limit") == "" {
 		return 0, nil
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -8,6 +8,7 @@
 	resumes                           *prometheus.CounterVec
 	callersLeft, truncated            prometheus.Counter
 	limitsInvalid, pauses, leavers    prometheus.Counter
+	brittlenessInvalid, rejections    prometheus.Counter
 	breakages, responsesInvalid       prometheus.Counter
 	relaysWithheld                    prometheus.Counter
 	requestTime                       *prometheus.HistogramVec
@@ -31,16 +32,18 @@
 		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "trefoil_capacity_engines", Help: "Capacity of a region in engine seconds a second, as assigned by, by pool.",
 		}, []string{"pool", "region"}),
-		answered:       counter("trefoil_requests_answered_total", "Requests answered by an upstream here, by pool.", "pool"),
-		attemptsFailed: counter("trefoil_tries_failed_total", "Tries at upstreams that gave no answer, by pool.", "pool"),
-		refused:        counter("trefoil_requests_refused_total", "Requests refused, by cause.", "cause"),
-		resumes:        counter("trefoil_streams_resumed_total", "Streams that callers took up, by how their version was found.", "source"),
-		callersLeft:    prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_callers_left_total", Help: "Callers that went away."}),
-		truncated:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_answers_broken_total", Help: "Answers broken off."}),
-		limitsInvalid:  prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_limits_invalid_total", Help: "Limits of upstreams that could not be read."}),
-		pauses:         prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_pauses_total", Help: "Responses in which upstreams asked for a pause."}),
-		leavers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_leavers_total", Help: "Upstreams that said in an answer that they are leaving."}),
-		breakages:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_breakages_total", Help: "Upstreams whose process was assumed to have ended, as connections to it broke."}),
+		answered:           counter("trefoil_requests_answered_total", "Requests answered by an upstream here, by pool.", "pool"),
+		attemptsFailed:     counter("trefoil_tries_failed_total", "Tries at upstreams that gave no answer, by pool.", "pool"),
+		refused:            counter("trefoil_requests_refused_total", "Requests refused, by cause.", "cause"),
+		resumes:            counter("trefoil_streams_resumed_total", "Streams that callers took up, by how their version was found.", "source"),
+		callersLeft:        prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_callers_left_total", Help: "Callers that went away."}),
+		truncated:          prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_answers_broken_total", Help: "Answers broken off."}),
+		limitsInvalid:      prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_limits_invalid_total", Help: "Limits of upstreams that could not be read."}),
+		brittlenessInvalid: prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_brittleness_invalid_total", Help: "Answers in which an upstream said that it is brittle, but the number could not be read."}),
+		rejections:         prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_brittle_rejections_total", Help: "Requests that brittle upstreams turned away."}),
+		pauses:             prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_pauses_total", Help: "Responses in which upstreams asked for a pause."}),
+		leavers:            prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_leavers_total", Help: "Upstreams that said in an answer that they are leaving."}),
+		breakages:          prometheus.NewCounter(prometheus.CounterOpts{Name: "trefoil_breakages_total", Help: "Upstreams whose process was assumed to have ended, as connections to it broke."}),
 		responsesInvalid: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "trefoil_responses_invalid_total", Help: "Responses of upstreams that were not valid ones to the request.",
 		}),
@@ -60,5 +63,5 @@
 
 // Collectors returns the metrics, to be added to a registry.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait, m.weight, m.demand, m.capacity}
+	return []prometheus.Collector{m.answered, m.attemptsFailed, m.refused, m.resumes, m.callersLeft, m.truncated, m.limitsInvalid, m.brittlenessInvalid, m.rejections, m.pauses, m.leavers, m.breakages, m.responsesInvalid, m.relaysWithheld, m.requestTime, m.slotWait, m.weight, m.demand, m.capacity}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -61,6 +61,7 @@
 	recorded      bool              // the stream that it began is in the Forwarder's Streams
 	claim         scheduler.Claim   // what it may claim because it was refused before
 	refusedHere   bool              // no slot of this region was forecast in time
+	turnedAway    bool              // a brittle upstream has turned it away
 	originUnknown bool              // another process than that of software may have begun the stream
 }
 
@@ -178,6 +179,9 @@
 	// together, as its response says; 0 if the response names no limit. An error says why the limit
 	// cannot be read.
 	NamedLimit(h http.Header) (float64, error)
+	// Brittleness returns how many requests the upstream says that it can turn away in a second without failing, and
+	// whether it says so. An error says why the number cannot be read; it then counts as 0.
+	Brittleness(h http.Header) (rejections float64, brittle bool, err error)
 	// Leaving reports whether the upstream says in its response that it is leaving.
 	Leaving(h http.Header) bool
 	// Pause returns how long the upstream wants no request from this host, as its response says; 0 if it
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -116,7 +116,7 @@
 	}
 	return &scheduler.Request{
 		Pool: r.pool, Parts: r.Parts, InputTokens: r.InputTokens, OutputTokens: output, Rank: r.priority,
-		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded,
+		ObjectiveAt: r.objectiveAt, Deadline: r.answerUntil, LateOnArrival: r.isLate(), Unrepeatable: !r.repeatable(), Excluded: excluded, TurnedAway: r.turnedAway,
 		Software: r.software, LastResort: r.lastResort, Avoid: r.avoid,
 		Customer: r.Customer(), Weight: r.customer.GetWeight(), Key: r.returnKey(), Claim: r.claim,
 		Sizing:    estimator.Key{Route: r.route.Name, Customer: r.Customer(), Hint: r.HintTokens, Max: r.MaxOutputTokens},
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -56,6 +56,8 @@
 	Streams *resumer.Sender
 	// OwnLimits returns the limits that upstreams lately named in answers to this host. Nil: none.
 	OwnLimits func() []*schema.NamedLimit
+	// OwnBrittleness returns what upstreams lately said in answers to this host of being brittle. Nil: none.
+	OwnBrittleness func() []*schema.Brittleness
 	// OwnLeavers returns the upstreams that lately said in answers to this host that they are leaving.
 	// Nil: none.
 	OwnLeavers func() []*schema.Leaver
@@ -220,6 +222,9 @@
 	if r.OwnLimits != nil {
 		request.Limits = r.OwnLimits()
 	}
+	if r.OwnBrittleness != nil {
+		request.Brittleness = r.OwnBrittleness()
+	}
 	if r.OwnLeavers != nil {
 		request.Leavers = r.OwnLeavers()
 	}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -148,7 +148,7 @@
 	s.expectedOutput(w, now) // sets w.output, which is used as long as the time is the same
 	if p := s.pools[w.Pool]; p != nil {
 		waiting = p.queued()
-		c.pools[w.Pool] = &pool{waiting: slices.Clone(p.waiting), releaseInterval: p.releaseInterval, releasedAt: p.releasedAt, slowDelay: p.slowDelay}
+		c.pools[w.Pool] = &pool{waiting: slices.Clone(p.waiting), releaseInterval: p.releaseInterval, releasedAt: p.releasedAt, slowDelay: p.slowDelay, brittle: p.brittle, tokens: p.tokens}
 	}
 	for _, u := range s.sortedUpstreams {
 		if u.announcement.Pool == w.Pool {
--- a/internal/scheduler/predict.go
+++ b/internal/scheduler/predict.go
@@ -82,6 +82,8 @@
 		return Paused
 	case w.Software != nil && u.doubtful(now):
 		return Doubtful
+	case w.TurnedAway && s.isBrittle(u, now):
+		return Tried
 	case u.leaving() && s.usableAsLastResort(u, w, now):
 		return Leaving
 	case u.leaving():
@@ -143,16 +145,18 @@
 // Reasons why an upstream was not taken: it is cold and may get no request now; its slots
 // and its queue are full; the request does not fit into its memory; the first token is
 // predicted too late; another upstream has a lower cost; the slot quota of this host is
-// used up; the upstream names a limit, of which this host has nothing left.
+// used up; the upstream names a limit, of which this host has nothing left; it is brittle and
+// might have to turn the request away.
 const (
-	ReasonNone   Reason = ""
-	ReasonCold   Reason = "cold"
-	ReasonSlots  Reason = "slots"
-	ReasonMemory Reason = "memory"
-	ReasonSlow   Reason = "slow"
-	ReasonCost   Reason = "dearer"
-	ReasonQuota  Reason = "permit"
-	ReasonLimit  Reason = "limit"
+	ReasonNone    Reason = ""
+	ReasonCold    Reason = "cold"
+	ReasonSlots   Reason = "slots"
+	ReasonMemory  Reason = "memory"
+	ReasonSlow    Reason = "slow"
+	ReasonCost    Reason = "dearer"
+	ReasonQuota   Reason = "permit"
+	ReasonLimit   Reason = "limit"
+	ReasonBrittle Reason = "brittle"
 )
 
 // best returns the prediction of least cost among those of the preferred upstream and of a
@@ -261,6 +265,9 @@
 	if !s.limitAllows(u, now) {
 		return nil, ReasonLimit
 	}
+	if !s.brittleAllows(w, u, now) {
+		return nil, ReasonBrittle
+	}
 	running := u.running + u.otherRunning
 	engine := s.Config().Pool(w.Pool).GetEngine()
 	if engine == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -92,6 +92,9 @@
 	Excluded map[string]bool
 	// Avoid holds processes of upstreams that may not get the request, by name. May be nil.
 	Avoid map[string]uint64
+	// TurnedAway is set if a brittle upstream has turned the request away: as it may be too large for any, no other one
+	// gets it.
+	TurnedAway bool
 	// Software is the version of the software that the upstream must run; nil: any.
 	Software *string
 	// LastResort is set if nothing but an upstream that is leaving can serve the request.
@@ -160,6 +163,8 @@
 	// slowDelay is the delay from the reservation after which slowFraction of the first
 	// tokens are still to come; 0 before the first sample.
 	slowDelay time.Duration
+	brittle   poolBrittleness
+	tokens    tokenSizes
 }
 
 // waiter is a request that has a reservation or waits for one.
@@ -264,6 +269,7 @@
 func (s *Scheduler) reserveOrEnqueue(w *Request) (*waiter, error) {
 	now := s.Timer.Now()
 	p := s.pool(w.Pool)
+	p.tokens.learn(float64(w.InputTokens + w.OutputTokens))
 	x := &waiter{request: w, enqueuedAt: now, done: make(chan struct{})}
 	candidates := s.candidates(w, now)
 	if len(candidates) == 0 {
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -145,6 +145,7 @@
 	ownedSince    time.Duration // time since which this host owns it, while it is cold; 0 if it does not
 	nextAllowedAt time.Duration
 	limit         limitState
+	brittle       brittleState
 	// leavingUntil is the time until which it may be sent requests of last resort, if it is leaving; 0:
 	// none.
 	leavingUntil time.Duration
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -124,7 +124,7 @@
 	e.refresher = &refresher.Refresher{
 		Timer: e.Timer, Dialer: e.dialer, Log: e.Log, SeedAddresses: e.Seeds, SelfReport: e.ownState,
 		Distributor: e.distributor, Table: e.Table, Bucket: e.bucket, OnLoads: e.applyLoads,
-		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits, OwnLeavers: e.scheduler.OwnLeavers,
+		Findings: &quarantiner.Link{Source: observer, Register: quarantine}, OwnLimits: e.scheduler.OwnLimits, OwnBrittleness: e.scheduler.OwnBrittleness, OwnLeavers: e.scheduler.OwnLeavers,
 		OwnBreakages: e.scheduler.OwnBreakages,
 		Streams:      &resumer.Sender{Index: streams},
 		Adaptive:     func() bool { return e.adaptive(e.Table) },
@@ -137,7 +137,7 @@
 		Host: e.Settings.Name, Region: e.Settings.Region, Timer: e.Timer, Dialer: e.dialer, Log: e.Log, Scheduler: e.scheduler,
 		Pool: e.pool, Bucket: e.bucket, Budget: &e.RetryBudget, Protocol: e.Protocol, Metrics: forwarder.NewMetrics(), Buffers: responses, SlowCallers: e.Contended,
 		ConfirmationAge: e.refresher.ConfirmationAge, MaxConfirmationAge: e.MaxConfirmationAge, EntryHosts: e.relayHosts, Borrow: e.refresher.Borrow,
-		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
+		Observer: observer, Quarantine: quarantine, OnLimit: e.refresher.ReportNow, OnBrittle: e.refresher.ReportNow, OnLeaver: e.refresher.ReportNow,
 		OnBreakage: func() {
 			e.refresher.SendStreams(true)
 			e.refresher.ReportNow()
@@ -351,6 +351,7 @@
 	e.scheduler.UpdateLeaving(e.Table.LeavingUntil())
 	e.scheduler.UpdateBroken(e.Table.BrokenAt())
 	e.scheduler.UpdateLimits(e.Table.Limits())
+	e.scheduler.UpdateBrittleness(e.Table.Brittleness())
 	e.Forwarder.SetRegionDigests(digests)
 	e.Forwarder.UpdateAssignments(loads, digests)
 }
