End a ban for silence once the upstream goes on

What callers saw: a sound upstream that sends nothing for a second and then goes on is left out for up to 4 s more, so others get its load.

Cause: the repeatable requests that wait there are given up at the same time, and each counts as a failure in a row; four of them are the longest ban. Nothing that is received afterwards ends it.

Why this works: a request is given up only if nothing was received from the upstream for any request since it was sent. Anything received later shows that it goes on. Bans after refused or hanging connections stay: streams may live on while new connections do not.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -175,6 +175,8 @@
 		return scheduler.Replaced
 	case errors.Is(err, errNotRun):
 		return scheduler.Rejected
+	case errors.Is(context.Cause(ctx), errNoResponse):
+		return scheduler.NoResponse
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCallerDisconnected):
 		return scheduler.CallerLeft
 	}
--- a/internal/pooler/option.go
+++ b/internal/pooler/option.go
@@ -8,7 +8,8 @@
 )
 
 // setSocketOptions makes the kernel end a connection whose remote end is gone: sent bytes may
-// stay unacknowledged for unackedTimeout, and keep-alive probes check an idle connection.
+// stay unacknowledged for unackedTimeout, and keep-alive probes check an idle connection. Linux gives up
+// probes by TCP_USER_TIMEOUT if it is set, whatever their count: at the first one that is due after it.
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var err error
 	control := raw.Control(func(fd uintptr) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -461,7 +461,7 @@
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.upstream.lastReceivedAt = s.Timer.Now()
+	p.upstream.recordReceived(s.Timer.Now())
 	p.upstream.conns.recordServing(openedAt)
 }
 
@@ -476,7 +476,7 @@
 	}
 	p.firstTokenReceived = true
 	now := s.Timer.Now()
-	p.upstream.lastReceivedAt = now
+	p.upstream.recordReceived(now)
 	p.endTrial()
 	p.upstream.unreadTokens -= p.uncachedTokens
 	p.upstream.learnDelay(p, now-p.reservedAt)
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -101,6 +101,8 @@
 	Replaced
 	// CallerLeft means that the caller went away before the end of the answer.
 	CallerLeft
+	// NoResponse means that nothing was received from the upstream, for any request, until this one was given up.
+	NoResponse
 )
 
 // upstream is the state of one incarnation of an upstream, as known to this host.
@@ -139,6 +141,8 @@
 	failureRate   float64
 	failureStreak int
 	bannedUntil   time.Duration
+	// bannedSilent is set if the ban ends once something is received.
+	bannedSilent bool
 	// coldUntil is the time at which the upstream stops being cold; until then it gets no
 	// request before nextAllowedAt.
 	coldUntil     time.Duration
@@ -380,20 +384,30 @@
 	u.delayFactor = math.Min(maxDelayFactor, math.Max(minDelayFactor, u.delayFactor*(1+step)))
 }
 
+// recordReceived records that something was received from the upstream, which ends a ban for its silence: the requests
+// that were given up at the same time count as so many failures in a row.
+func (u *upstream) recordReceived(now time.Duration) {
+	u.lastReceivedAt = now
+	if u.bannedSilent {
+		u.bannedUntil, u.failureStreak, u.bannedSilent = 0, 0, false
+	}
+}
+
 // recordOutcome updates the failure rate and the time until which the upstream is avoided.
 func (u *upstream) recordOutcome(o Outcome, now time.Duration) {
 	switch o {
 	case Answered:
 		u.failureRate -= failureWeight * u.failureRate
 		u.failureStreak = 0
-	case Failed, Unreachable:
+	case Failed, Unreachable, NoResponse:
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.failureStreak++
 		if u.failureStreak >= 3 || o == Unreachable {
 			u.bannedUntil = now + min(maxBanDuration, baseBanDuration<<min(u.failureStreak, 5))
+			u.bannedSilent = o == NoResponse
 		}
 	case Replaced:
-		u.bannedUntil = now + maxBanDuration
+		u.bannedUntil, u.bannedSilent = now+maxBanDuration, false
 	case Rejected:
 		u.bannedUntil = max(u.bannedUntil, now+baseBanDuration/2)
 	}
