Let few hosts report that upstreams are still brittle

What could happen: all upstreams of a pool may say at once that they are brittle. Each host that gets answers from them reported each of them with each report, so that control hosts got as many entries as there are pairs of hosts and upstreams, several times a second.

Change: a host reports for 2 s what it learned from an answer, if that changed anything. That it still holds is reported by the three hosts that rank first for the upstream. A rejection is reported by the host that was turned away.

Evidence: TestBrittleUpstreamsKeepUp counts the reports; with all hosts reporting: "hosts reported 12000 times that upstreams are brittle, want at most 1600" in 20 s.

--- a/internal/scheduler/brittle.go
+++ b/internal/scheduler/brittle.go
@@ -30,19 +30,22 @@
 	// Time after an upstream of a pool said that it is brittle, in which processes of the pool that have not
 	// answered yet count as brittle too.
 	poolBrittleTime = 30 * time.Second
-	// Time after an answer or a rejection for which a host reports it.
+	// Time after a change or a rejection for which a host reports it.
 	brittleReportTime = 2 * time.Second
+	// Number of hosts, the first by rank, that report that an upstream still says that it is brittle: a whole pool
+	// may say so at once.
+	maxBrittleReporters = 3
 )
 
 // brittleState is what a host knows of an upstream that fails if it must turn too many requests away, and its own
 // part of that upstream.
 type brittleState struct {
-	said       bool          // an answer of this process told whether it is brittle
-	brittle    bool          // as the last answer said
-	rejections float64       // requests that it can turn away in a second
-	receivedAt time.Duration // when any host received the last such answer; 0: never
-	answeredAt time.Duration // when this host did
-	unnamed    int           // answers to this host in a row that did not say that it is brittle
+	said        bool          // an answer of this process told whether it is brittle
+	brittle     bool          // as the last answer said
+	rejections  float64       // requests that it can turn away in a second
+	receivedAt  time.Duration // when any host received the last such answer; 0: never
+	reportUntil time.Duration // until which this host reports it
+	unnamed     int           // answers to this host in a row that did not say that it is brittle
 
 	// room is the number of requests for which the upstream was assumed to have room when it last turned one away, at
 	// rejectedAt; 0: it turned none away. This host was turned away last at ownRejectedAt and sends nothing until
@@ -72,26 +75,28 @@
 	defer s.mu.Unlock()
 	u, now := p.upstream, s.Timer.Now()
 	b := &u.brittle
-	changed := false
+	changed, report := false, false
 	switch {
 	case brittle:
-		b.unnamed, b.answeredAt = 0, now
+		b.unnamed = 0
 		changed = s.setBrittle(u, rejections, true, now)
+		rank, _ := s.ownerRank(u, now)
+		report = rank < maxBrittleReporters
 	case rejected:
 	case !b.said:
-		if s.isBrittle(u, now) {
-			b.answeredAt = now
-		}
+		report = s.isBrittle(u, now)
 		changed = s.setBrittle(u, 0, false, now)
 	case b.brittle:
 		if b.unnamed++; b.unnamed >= answersToEndLimit || now-b.receivedAt >= limitCheckAge {
-			b.answeredAt = now
 			changed = s.setBrittle(u, 0, false, now)
 		}
 	}
 	if rejected {
 		changed = s.recordRejection(p, now) || changed
 	}
+	if changed || report {
+		b.reportUntil = now + brittleReportTime
+	}
 	return changed
 }
 
@@ -162,8 +167,8 @@
 	}
 }
 
-// OwnBrittleness returns what upstreams lately said in answers to this host of being brittle, and which of these lately
-// turned a request of this host away.
+// OwnBrittleness returns what upstreams lately said in answers to this host of being brittle, and when they last turned
+// a request of this host away.
 func (s *Scheduler) OwnBrittleness() []*schema.Brittleness {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,18 +176,15 @@
 	var all []*schema.Brittleness
 	for _, u := range s.sortedUpstreams {
 		b := &u.brittle
-		if !b.said {
-			continue
-		}
-		rejected := b.ownRejectedAt > 0 && b.ownRejectedAt == b.rejectedAt && now-b.rejectedAt < brittleReportTime
-		if !rejected && (b.answeredAt == 0 || b.answeredAt != b.receivedAt || now-b.answeredAt >= brittleReportTime) {
+		if !b.said || now >= b.reportUntil {
 			continue
 		}
 		m := &schema.Brittleness{
 			Upstream: u.announcement.Name, Incarnation: u.announcement.Incarnation, Rejections: b.rejections, Ended: !b.brittle,
-			Age: (now - b.receivedAt).Seconds(), Room: b.room,
+			Age: (now - b.receivedAt).Seconds(),
 		}
-		if b.rejectedAt > 0 {
+		if b.rejectedAt > 0 && b.rejectedAt == b.ownRejectedAt {
+			m.Room = b.room
 			m.Rejected = proto.Float64((now - b.rejectedAt).Seconds())
 		}
 		all = append(all, m)
--- a/internal/scheduler/brittle_test.go
+++ b/internal/scheduler/brittle_test.go
@@ -80,6 +80,7 @@
 	number    uint64
 	answered  int
 	refused   int
+	reports   int                 // of brittleness, to the control host
 	ranks     map[string][]string // names of hosts by rank for an upstream
 	running   map[string]int32    // by upstream, as all hosts last reported
 }
@@ -149,6 +150,7 @@
 	h := f.hosts[i]
 	for _, b := range h.scheduler.OwnBrittleness() {
 		f.control.StoreBrittleness(b, true)
+		f.reports++
 	}
 	f.report(h, h.scheduler.OwnLoads())
 	running := maps.Clone(f.running)
@@ -373,12 +375,17 @@
 				f.run(5 * time.Second)
 				f.brittle, f.strictAt = true, f.clock.Now()+brittleStableWindow
 				f.run(brittleStableWindow)
-				answered, refused := f.answered, f.refused
+				answered, refused, reports := f.answered, f.refused, f.reports
 				f.run(brittleTime)
 				falls, rejected := f.totals()
 				answered, refused = f.answered-answered, f.refused-refused
 				t.Logf("%d falls, %d turned away by upstreams, %.0f %% of the capacity used, %d answered, %d refused", falls, rejected,
 					100*float64(answered)*meanTestDuration.Seconds()/(brittleTime.Seconds()*f.concurrency()*brittleUpstreams), answered, refused)
+				// While nothing changes, few hosts report, at each refresh.
+				refreshes := int(brittleTime / (brittleHostRefresh * brittleStep))
+				if reports, most := f.reports-reports, 4*brittleUpstreams*refreshes; reports > most {
+					t.Errorf("hosts reported %d times that upstreams are brittle, want at most %d", reports, most)
+				}
 				if allowed := 2 + brittleUpstreams/10; falls > allowed {
 					t.Errorf("brittle upstreams failed %d times as they had to turn requests away, want at most %d", falls, allowed)
 				}
