Brittle engines: go by announced slots if they are fewer

What callers could see: an engine that announces fewer slots than the configuration states gets parts of the configured ones, turns requests away and fails.

New cases with engines chosen by cost passed before and after.

--- a/internal/scheduler/brittle.go
+++ b/internal/scheduler/brittle.go
@@ -231,7 +231,7 @@
 		return true
 	}
 	engine := s.Config().Pool(w.Pool).GetEngine()
-	if now < u.brittle.pausedUntil || u.running+u.otherRunning >= u.slots(engine) {
+	if now < u.brittle.pausedUntil || u.running+u.otherRunning >= u.brittleSlots(engine) {
 		return false
 	}
 	rank, hosts := s.ownerRank(u, now)
@@ -253,7 +253,7 @@
 	pool := s.pool(u.announcement.Pool)
 	_, hosts := s.ownerRank(u, now)
 	engine := s.Config().Pool(u.announcement.Pool).GetEngine()
-	room := float64(u.slots(engine)) * brittleSlotFraction
+	room := float64(u.brittleSlots(engine)) * brittleSlotFraction
 	if memory := float64(engine.GetTokens()) * maxMemoryFraction; memory > 0 && hosts > 1 {
 		room = math.Min(room, pool.tokens.fitting(memory))
 	}
@@ -264,6 +264,16 @@
 	return math.Max(1, math.Floor(room))
 }
 
+// brittleSlots returns the number of requests that a brittle upstream runs at once: an engine may announce fewer than the
+// configuration states.
+func (u *upstream) brittleSlots(engine *schema.Engine) int {
+	slots := u.slots(engine)
+	if announced := int(u.announcement.Slots); announced > 0 {
+		slots = min(slots, announced)
+	}
+	return slots
+}
+
 // ownerRank returns the rank of this host among those that may send requests to an upstream, from 0, and their number.
 // The caller holds mu.
 func (s *Scheduler) ownerRank(u *upstream, now time.Duration) (rank, hosts int) {
--- a/internal/scheduler/brittle_test.go
+++ b/internal/scheduler/brittle_test.go
@@ -35,6 +35,8 @@
 	queue      int     // requests that may wait at an upstream while it is brittle
 	overload   float64 // requests, as a multiple of what the upstreams can serve
 	tokens     int64   // memory of an engine; 0: plain services
+	configured int     // slots of an engine by configuration; 0: as announced
+	adaptive   bool
 	disturb    func(f *brittleFleet, step int)
 }
 
@@ -90,7 +92,7 @@
 	f.clock.Advance(time.Hour)
 	pool := &schema.Pool{Name: "p"}
 	if c.tokens > 0 {
-		pool.Engine = &schema.Engine{Slots: int32(c.slots), Tokens: c.tokens}
+		pool.Engine = &schema.Engine{Slots: int32(cmp.Or(c.configured, c.slots)), Tokens: c.tokens}
 	}
 	f.config = configurer.FromMessage(&schema.Snapshot{Version: 1, Items: []*schema.Item{{Path: "pool/p", Value: &schema.Item_Pool{Pool: pool}}}})
 	f.control = &cataloger.Table{Timer: f.clock, AnnounceInterval: time.Hour}
@@ -121,7 +123,7 @@
 	h := &brittleHost{name: name, table: &cataloger.Table{Timer: f.clock, AnnounceInterval: time.Hour, IsMirror: true}}
 	h.table.Start()
 	h.scheduler = &Scheduler{
-		Timer: f.clock, Config: func() *configurer.Snapshot { return f.config }, Random: f.random.IntN,
+		Timer: f.clock, Config: func() *configurer.Snapshot { return f.config }, Random: f.random.IntN, Adaptive: func() bool { return f.adaptive },
 		HostCount: func() int { return len(f.hosts) },
 		OwnerRank: func(upstream string) (int, int) { return f.rank(name, upstream), len(f.hosts) },
 	}
@@ -350,11 +352,15 @@
 		f.refresh(len(f.hosts) - 1)
 	})
 	cases := map[string]brittleCase{
-		"hosts restart":     {hosts: 30, slots: 16, rejections: 5, overload: 2, disturb: restart},
-		"hosts come and go": {hosts: 30, slots: 16, rejections: 5, overload: 2, disturb: comeAndGo},
-		"none rejected":     {hosts: 30, slots: 16, rejections: 0, overload: 2},
-		"no overload":       {hosts: 3, slots: 16, rejections: 1, overload: 0.7},
-		"few slots":         {hosts: 30, slots: 4, rejections: 1, overload: 2},
+		"hosts restart":                               {hosts: 30, slots: 16, rejections: 5, overload: 2, disturb: restart},
+		"hosts come and go":                           {hosts: 30, slots: 16, rejections: 5, overload: 2, disturb: comeAndGo},
+		"engines with fewer slots than configured":    {hosts: 30, slots: 16, configured: 64, rejections: 5, overload: 2, tokens: 200_000},
+		"engines by cost":                             {hosts: 30, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 200_000, adaptive: true},
+		"engines by cost, short of memory":            {hosts: 30, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 60_000, adaptive: true},
+		"engines by cost, short of memory, 300 hosts": {hosts: 300, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 60_000, adaptive: true},
+		"none rejected":                               {hosts: 30, slots: 16, rejections: 0, overload: 2},
+		"no overload":                                 {hosts: 3, slots: 16, rejections: 1, overload: 0.7},
+		"few slots":                                   {hosts: 30, slots: 4, rejections: 1, overload: 2},
 	}
 	for _, hosts := range []int{1, 30, 300} {
 		for _, rejections := range []float64{1, 5, 20} {
