Begin the room of a new brittle process where the one before was found out

What callers could see: an upstream that has less room than it announces fails, and its new process gets as many requests as the one before did and fails again.

Cause: what was learned from its rejections belonged to the process.

Evidence: TestRoomOutlivesProcess failed before: "h0: room for 14 requests at the new process, want 11".

Why this works: a process that has not answered yet has the room that a process of its pool was last found to have, which grows on from there.

--- a/internal/scheduler/brittle.go
+++ b/internal/scheduler/brittle.go
@@ -60,10 +60,13 @@
 	rankedAt    time.Duration
 }
 
-// poolBrittleness is what an upstream of a pool said last of being brittle.
+// poolBrittleness is what an upstream of a pool said last of being brittle, and the room that one was last assumed to
+// have as it turned a request away. A new process begins with both.
 type poolBrittleness struct {
 	rejections float64
 	saidAt     time.Duration // 0: none said so
+	room       float64
+	rejectedAt time.Duration // 0: none turned a request away
 }
 
 // RecordBrittleness records what an answer of the upstream says of being brittle: how many requests it can turn away
@@ -104,6 +107,9 @@
 func (s *Scheduler) setBrittle(u *upstream, rejections float64, brittle bool, receivedAt time.Duration) bool {
 	b := &u.brittle
 	changed := b.brittle != brittle || b.rejections != rejections
+	if !b.said {
+		b.room, b.rejectedAt = s.learnedRoom(u, receivedAt)
+	}
 	b.said, b.brittle, b.rejections, b.receivedAt = true, brittle, rejections, receivedAt
 	if !brittle {
 		b.room, b.rejectedAt, b.pausedUntil = 0, 0, 0
@@ -131,10 +137,32 @@
 	if float64(p.Running) >= room || p.reservedAt < b.shrunkAt || b.shrunkAt > 0 && now-b.shrunkAt < roomStepInterval {
 		return false
 	}
-	b.room, b.rejectedAt, b.ownRejectedAt, b.shrunkAt = math.Max(1, room*roomShrinkFactor), now, now, now
+	b.ownRejectedAt = now
+	s.setRoom(u, math.Max(1, room*roomShrinkFactor), now, now)
 	return true
 }
 
+// setRoom sets the room that an upstream is assumed to have as it turned a request away. The caller holds mu.
+func (s *Scheduler) setRoom(u *upstream, room float64, rejectedAt, now time.Duration) {
+	b := &u.brittle
+	b.room, b.rejectedAt, b.shrunkAt = room, rejectedAt, now
+	if m := &s.pool(u.announcement.Pool).brittle; rejectedAt > m.rejectedAt {
+		m.room, m.rejectedAt = room, rejectedAt
+	}
+}
+
+// learnedRoom returns the room that an upstream is assumed to have since it turned a request away at a time; 0 if it
+// turned none away. Of a process that has not answered yet, they are those of its pool. The caller holds mu.
+func (s *Scheduler) learnedRoom(u *upstream, now time.Duration) (room float64, rejectedAt time.Duration) {
+	if u.brittle.said || u.brittle.rejectedAt > 0 {
+		return u.brittle.room, u.brittle.rejectedAt
+	}
+	if m := &s.pool(u.announcement.Pool).brittle; m.rejectedAt > 0 && now-m.rejectedAt < poolBrittleTime {
+		return m.room, m.rejectedAt
+	}
+	return 0, 0
+}
+
 // Brittle reports whether the upstream counts as brittle.
 func (p *Reservation) Brittle() bool {
 	s := p.scheduler
@@ -162,7 +190,7 @@
 			continue
 		}
 		if at := now - timer.Seconds(*m.Rejected); at > b.rejectedAt {
-			b.room, b.rejectedAt, b.shrunkAt = m.Room, at, now
+			s.setRoom(u, m.Room, at, now)
 		}
 	}
 }
@@ -257,9 +285,9 @@
 	if memory := float64(engine.GetTokens()) * maxMemoryFraction; memory > 0 && hosts > 1 {
 		room = math.Min(room, pool.tokens.fitting(memory))
 	}
-	if u.brittle.rejectedAt > 0 {
+	if learned, at := s.learnedRoom(u, now); at > 0 {
 		rejections, _ := s.brittleness(u, now)
-		room = math.Min(room, u.brittle.room+rejections*roomGrowthFraction*(now-u.brittle.rejectedAt).Seconds())
+		room = math.Min(room, learned+rejections*roomGrowthFraction*(now-at).Seconds())
 	}
 	return math.Max(1, math.Floor(room))
 }
--- a/internal/scheduler/brittle_test.go
+++ b/internal/scheduler/brittle_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -37,6 +38,7 @@
 	tokens     int64   // memory of an engine; 0: plain services
 	configured int     // slots of an engine by configuration; 0: as announced
 	adaptive   bool
+	stated     int // slots that upstreams announce; 0: those that they have
 	disturb    func(f *brittleFleet, step int)
 }
 
@@ -114,7 +116,7 @@
 func (f *brittleFleet) announce(u *brittleUpstream) {
 	f.number++
 	f.control.StoreUpstream(&schema.Announcement{
-		Name: u.name, Address: u.name, Pool: "p", Region: "r", Domain: "d", Slots: int32(f.slots), Incarnation: u.incarnation, Number: f.number,
+		Name: u.name, Address: u.name, Pool: "p", Region: "r", Domain: "d", Slots: int32(cmp.Or(f.stated, f.slots)), Incarnation: u.incarnation, Number: f.number,
 	}, true)
 }
 
@@ -358,6 +360,7 @@
 		"engines by cost":                             {hosts: 30, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 200_000, adaptive: true},
 		"engines by cost, short of memory":            {hosts: 30, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 60_000, adaptive: true},
 		"engines by cost, short of memory, 300 hosts": {hosts: 300, slots: 64, rejections: 5, queue: 4, overload: 2, tokens: 60_000, adaptive: true},
+		"services with less room than they announce":  {hosts: 30, slots: 12, stated: 16, rejections: 5, overload: 2},
 		"none rejected":                               {hosts: 30, slots: 16, rejections: 0, overload: 2},
 		"no overload":                                 {hosts: 3, slots: 16, rejections: 1, overload: 0.7},
 		"few slots":                                   {hosts: 30, slots: 4, rejections: 1, overload: 2},
@@ -439,3 +442,38 @@
 		t.Errorf("%d upstreams count as brittle %v after the last of them said so, want none", n, poolBrittleTime)
 	}
 }
+
+// TestRoomOutlivesProcess guards against a new process that fails as the one before: what that one had room for was
+// known.
+func TestRoomOutlivesProcess(t *testing.T) {
+	f := newBrittleFleet(1, brittleCase{hosts: 2, slots: 16, rejections: 2})
+	room := func(h *brittleHost) float64 {
+		h.scheduler.mu.Lock()
+		defer h.scheduler.mu.Unlock()
+		return h.scheduler.brittleRoom(h.scheduler.upstreams["u0"], f.clock.Now())
+	}
+	s := f.hosts[0].scheduler
+	s.Random = func(n int) int { return n - 1 } // chooses u0
+	p, err := s.Acquire(context.Background(), &Request{Pool: "p", ObjectiveAt: f.clock.Now() + time.Second, Deadline: f.clock.Now() + time.Minute})
+	if err != nil || p.Name != "u0" {
+		t.Fatalf("got %v, %v, want a place at u0", p, err)
+	}
+	p.RecordBrittleness(2, true, true)
+	p.Release(Rejected)
+	f.refresh(0)
+	f.refresh(1)
+	want := math.Floor(math.Floor(16*brittleSlotFraction) * roomShrinkFactor)
+	for _, h := range f.hosts {
+		if got := room(h); got != want {
+			t.Errorf("%s: room for %v requests after one was turned away, want %v", h.name, got, want)
+		}
+	}
+	f.upstreams[0].incarnation = 2
+	f.announce(f.upstreams[0])
+	for i, h := range f.hosts {
+		f.refresh(i)
+		if got := room(h); got != want {
+			t.Errorf("%s: room for %v requests at the new process, want %v", h.name, got, want)
+		}
+	}
+}
