--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -210,6 +210,8 @@
 		return scheduler.Replaced
 	case errors.Is(err, errNotRun):
 		return scheduler.Rejected
+	case errors.Is(context.Cause(ctx), errNoResponse):
+		return scheduler.NoResponse
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCallerDisconnected):
 		return scheduler.CallerLeft
 	}
@@ -262,6 +264,7 @@
 		reservation.RecordServing(call.OpenedAt())
 	}
 	f.recordLimit(r, reservation, verdict, call.Response.Header)
+	f.recordBrittleness(r, reservation, verdict, call.Response.Header)
 	f.recordPause(r, reservation, verdict, call.Response)
 	f.recordLeaving(r, sink, reservation, verdict, call.Response.Header)
 	switch verdict {
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -101,6 +101,8 @@
 	Replaced
 	// CallerLeft means that the caller went away before the end of the answer.
 	CallerLeft
+	// NoResponse means that nothing was received from the upstream, for any request, until this one was given up.
+	NoResponse
 )
 
 // upstream is the state of one incarnation of an upstream, as known to this host.
@@ -139,13 +141,14 @@
 	failureRate   float64
 	failureStreak int
 	bannedUntil   time.Duration
-	bannedFor     Outcome // what bannedUntil was set for last
+	bannedFor     Outcome // what bannedUntil was set for
 	// coldUntil is the time at which the upstream stops being cold; until then it gets no
 	// request before nextAllowedAt.
 	coldUntil     time.Duration
 	ownedSince    time.Duration // time since which this host owns it, while it is cold; 0 if it does not
 	nextAllowedAt time.Duration
 	limit         limitState
+	brittle       brittleState
 	// leavingUntil is the time until which it may be sent requests of last resort, if it is leaving; 0:
 	// none.
 	leavingUntil time.Duration
@@ -386,7 +389,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.upstreams {
-		if u.bannedFor == Unreachable || u.bannedFor == Failed {
+		switch u.bannedFor {
+		case Unreachable, Failed, NoResponse:
 			u.failureRate, u.failureStreak, u.bannedUntil = 0, 0, 0
 		}
 		if !u.conns.ended { // an end was confirmed by connections to others
@@ -396,24 +400,31 @@
 	}
 }
 
+// recordReceived records that something was received from the upstream, which ends a ban for its silence: the requests
+// that were given up at the same time count as so many failures in a row.
+func (u *upstream) recordReceived(now time.Duration) {
+	u.lastReceivedAt = now
+	if u.bannedFor == NoResponse {
+		u.bannedUntil, u.failureStreak, u.bannedFor = 0, 0, Answered
+	}
+}
+
 // recordOutcome updates the failure rate and the time until which the upstream is avoided.
 func (u *upstream) recordOutcome(o Outcome, now time.Duration) {
 	switch o {
 	case Answered:
 		u.failureRate -= failureWeight * u.failureRate
 		u.failureStreak = 0
-	case Failed, Unreachable:
-		u.bannedFor = o
+	case Failed, Unreachable, NoResponse:
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.failureStreak++
 		if u.failureStreak >= 3 || o == Unreachable {
 			u.bannedUntil = now + min(maxBanDuration, baseBanDuration<<min(u.failureStreak, 5))
+			u.bannedFor = o
 		}
 	case Replaced:
-		u.bannedFor = o
-		u.bannedUntil = now + maxBanDuration
+		u.bannedUntil, u.bannedFor = now+maxBanDuration, o
 	case Rejected:
-		u.bannedFor = o
 		u.bannedUntil = max(u.bannedUntil, now+baseBanDuration/2)
 	}
 }
