Poll connections again after a signal

Callers could get 502, or a stream that breaks off, in place of a whole response that states neither a length nor chunks.

Cause: poll returns EINTR if it finds no event and a signal is pending, even if it does not wait, and the runtime sends signals to preempt goroutines. closer.Failed took the error for a failed connection, and Call.Open, which watches over such responses, for a closed one.

The poll is repeated while a signal interrupts it.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -45,9 +45,19 @@
 	err = raw.Control(func(fd uintptr) {
 		// While this end may write, the kernel reports POLLHUP only for a connection that is gone. A poll leaves an
 		// error of the connection for the next Read or Write.
-		p := []unix.PollFd{{Fd: int32(fd)}}
-		_, err := unix.Poll(p, 0)
-		failed = err != nil || p[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+		events, err := Poll(fd, 0)
+		failed = err != nil || events&(unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return err != nil || failed
 }
+
+// Poll returns which of the events, or of POLLERR and POLLHUP, have occurred on a file descriptor. It does not wait.
+func Poll(fd uintptr, events int16) (int16, error) {
+	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		// A signal that is pending interrupts a poll without events, also one that does not wait.
+		if _, err := unix.Poll(p, 0); !errors.Is(err, unix.EINTR) {
+			return p[0].Revents, err
+		}
+	}
+}
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
+	"sync"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -99,3 +101,38 @@
 		}
 	}
 }
+
+// TestFailedDuringSignals guards against a connection that counts as failed because a signal, such as those with which
+// the runtime preempts goroutines, interrupts the poll.
+func TestFailedDuringSignals(t *testing.T) {
+	c, other := connect(t)
+	_ = other.CloseWrite()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatal(err)
+	}
+	runtime.LockOSThread() // so that the signals reach the thread that polls
+	defer runtime.UnlockOSThread()
+	thread, stop := unix.Gettid(), make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				_ = unix.Tgkill(unix.Getpid(), thread, unix.SIGURG) // the runtime ignores one that it did not send
+			}
+		}
+	})
+	failed := 0
+	for range 20_000 {
+		if Failed(c.Conn) {
+			failed++
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if failed > 0 {
+		t.Errorf("a connection that the other end half closed counts as failed in %d of 20000 calls", failed)
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -376,8 +376,8 @@
 	open := false
 	err = raw.Control(func(fd uintptr) {
 		// A poll leaves an error of the connection for the next Read, unlike a peek.
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
-		open = n == 0 && err == nil
+		events, err := closer.Poll(fd, unix.POLLRDHUP)
+		open = events == 0 && err == nil
 	})
 	return err == nil && open
 }
