--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -42,4 +42,5 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"order": playOrder,
 	"whole": playWhole,
+	"part":  playPart,
 }
--- a/review/standin-2/order.go
+++ b/review/standin-2/order.go
@@ -38,7 +38,7 @@
 	time.Sleep(2 * time.Second)
 	if w.trouble {
 		w.log("disruption: server 1 ends and starts again under its id with version v2; its first liveness report arrives %v late", reportDelay)
-		kill(first)
+		first.kill()
 		if first, err = w.startServer("server 1", "-id", "i-1", "-listen", at(1), "-version", "v2", "-events", "20", "-first-report", reportDelay.String()); err != nil {
 			return false, err
 		}
@@ -50,7 +50,7 @@
 	time.Sleep(time.Second)
 	if w.trouble {
 		w.log("disruption: server 1 crashes")
-		kill(first)
+		first.kill()
 	}
 	mixed, served := 0, 0
 	for _, a := range <-streams {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +26,7 @@
 	interval                   time.Duration
 	unframed                   bool // answers have neither a length nor chunks
 	firstReport                time.Duration
+	crashPart                  string // part of a prompt under which the server crashes; empty: none
 	born                       int64
 	seq                        atomic.Int64
 }
@@ -43,6 +45,7 @@
 	f.DurationVar(&s.interval, "interval", 100*time.Millisecond, "time between two events")
 	f.BoolVar(&s.unframed, "unframed", false, "answers have neither a length nor chunks")
 	f.DurationVar(&s.firstReport, "first-report", 0, "time that the first liveness report takes to arrive")
+	f.StringVar(&s.crashPart, "crash-part", "", "part of a prompt under which the server crashes")
 	_ = f.Parse(args)
 	s.controls = strings.Split(*controls, ",")
 	if s.address == "" {
@@ -107,6 +110,11 @@
 		first = last + 1
 	}
 	note("ran", map[string]any{"server": s.id, "version": s.version, "request": id, "from": first})
+	if s.crashPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), s.crashPart+":") {
+		note("crashes", map[string]any{"server": s.id, "request": id})
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		time.Sleep(time.Second) // the signal ends the process before
+	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Server-Seal", s.id+"."+s.version+"."+id)
 	h.Set("X-Weight-Versions", "1")
--- a/review/standin-2/whole.go
+++ b/review/standin-2/whole.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os/exec"
 	"syscall"
 	"time"
 )
@@ -22,7 +21,7 @@
 	}
 	entry := w.entries[0]
 	at, told := w.serverAddress(1), w.serverAddress(2)
-	start := func(n int) (*exec.Cmd, error) {
+	start := func(n int) (*process, error) {
 		return w.startServer("server", "-id", fmt.Sprintf("i-%d", n), "-listen", at, "-address", told, "-unframed", "-events", "25")
 	}
 	server, err := start(0)
@@ -45,10 +44,10 @@
 		time.Sleep(time.Second)
 		if w.trouble {
 			w.log("disruption: the link loses packets, for less than 5 s")
-			_ = link.Process.Signal(syscall.SIGUSR1)
+			link.signal(syscall.SIGUSR1)
 			time.Sleep(time.Second)
 			w.log("disruption: the server crashes")
-			kill(server)
+			server.kill()
 		}
 		for _, a := range <-streams {
 			if a.status == http.StatusOK && a.whole && a.events < a.total {
@@ -57,7 +56,7 @@
 			}
 		}
 		if w.trouble {
-			_ = link.Process.Signal(syscall.SIGUSR2)
+			link.signal(syscall.SIGUSR2)
 			w.log("the link loses nothing any more")
 		}
 		if w.trouble && round+1 < wholeRounds {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -42,7 +42,13 @@
 	mu        sync.Mutex
 	record    *os.File // guarded by mu
 	startedAt time.Time
-	processes []*exec.Cmd // guarded by mu
+	processes []*process // guarded by mu
+}
+
+// process is a process that the case started.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{} // closed once it has ended
 }
 
 // maxServers is the number of addresses for servers and links.
@@ -54,7 +60,7 @@
 	name, role, zone, region string
 	ip                       string
 	started                  bool
-	process                  *exec.Cmd
+	process                  *process
 }
 
 var regionOf = map[string]string{"lothian-a": "lothian", "clyde-a": "clyde", "grampian-a": "grampian"}
@@ -112,32 +118,37 @@
 }
 
 // start starts a process that endAll ends.
-func (w *world) start(c *exec.Cmd) error {
+func (w *world) start(c *exec.Cmd) (*process, error) {
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if err := c.Start(); err != nil {
-		return err
+		return nil, err
 	}
-	w.processes = append(w.processes, c)
-	return nil
+	p := &process{c, make(chan struct{})}
+	go func() {
+		_ = c.Wait() // how it ended is no matter
+		close(p.done)
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.processes = append(w.processes, p)
+	return p, nil
 }
 
-// kill ends a process with SIGKILL and waits for its end.
-func kill(c *exec.Cmd) {
-	_ = c.Process.Signal(syscall.SIGCONT)
-	_ = c.Process.Kill()
-	_ = c.Wait()
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends the process with SIGKILL and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
 }
 
 func (w *world) endAll() {
 	w.mu.Lock()
 	all := w.processes
 	w.mu.Unlock()
-	for _, c := range all {
-		if c.ProcessState == nil {
-			kill(c)
-		}
+	for _, p := range all {
+		p.kill()
 	}
 }
 
@@ -260,13 +271,14 @@
 	c := exec.Command("target/trefoilnode", m.role)
 	c.Env = []string{"TREFOILLOFT_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	c.Stdout, c.Stderr = log, log
-	m.started, m.process = true, c
+	m.started = true
 	m.w.log("start %s at %s", m.name, m.ip)
-	return m.w.start(c)
+	m.process, err = m.w.start(c)
+	return err
 }
 
 // startServer starts a server with arguments of the server command. Its output goes to the record.
-func (w *world) startServer(name string, args ...string) (*exec.Cmd, error) {
+func (w *world) startServer(name string, args ...string) (*process, error) {
 	var controls string
 	for i, c := range w.controls {
 		if i > 0 {
@@ -277,7 +289,7 @@
 	return w.startStandIn(name, append([]string{"server", "-controls", controls, "-service", "pool", "-zone", "lothian-a"}, args...)...)
 }
 
-func (w *world) startStandIn(name string, args ...string) (*exec.Cmd, error) {
+func (w *world) startStandIn(name string, args ...string) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -286,7 +298,7 @@
 	out := &lineWriter{w, name}
 	c.Stdout, c.Stderr = out, out
 	w.log("start %s: %q", name, args)
-	return c, w.start(c)
+	return w.start(c)
 }
 
 // manifest is the configuration that the operator sends.
