--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -36,9 +36,14 @@
 
 // askWith is ask with parts of the prompt that stand between sharedPart and the part of the request itself.
 func (w *world) askWith(m *machine, path, parts string) answer {
-	a := answer{id: fmt.Sprintf("%016x", rand.Uint64())}
 	ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
 	defer cancel()
+	return w.askUntil(ctx, m, path, parts, nil)
+}
+
+// askUntil is askWith with further headers, for a client that leaves when ctx ends.
+func (w *world) askUntil(ctx context.Context, m *machine, path, parts string, headers map[string]string) answer {
+	a := answer{id: fmt.Sprintf("%016x", rand.Uint64())}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.address(portFront)+path, strings.NewReader(a.id+strings.Repeat("x", 600)))
 	if err != nil {
 		a.err = err
@@ -51,6 +56,9 @@
 	} {
 		r.Header.Set(name, value)
 	}
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
 	w.log("client: request %s to %s%s, parts %s", a.id, m.name, path, r.Header.Get("X-Prompt-Prefix"))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(r)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -40,7 +40,8 @@
 
 // cases are the scripts, by name.
 var cases = map[string]func(*world) (broken bool, err error){
-	"order": playOrder,
-	"whole": playWhole,
-	"part":  playPart,
+	"order":  playOrder,
+	"whole":  playWhole,
+	"part":   playPart,
+	"region": playRegion,
 }
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -152,16 +152,24 @@
 	}
 }
 
+// seedCount is the number of control machines that the settings name.
+const seedCount = 3
+
 // build chooses free addresses and starts three control machines and the given entry machines, by zone.
 func (w *world) build(entryZones ...string) error {
-	if err := w.chooseAddresses(3 + len(entryZones)); err != nil {
+	return w.buildWith([]string{"lothian-a", "clyde-a", "grampian-a"}, entryZones)
+}
+
+// buildWith is build with control machines in the given zones. The first seedCount of them are the seeds.
+func (w *world) buildWith(controlZones, entryZones []string) error {
+	if err := w.chooseAddresses(len(controlZones) + len(entryZones)); err != nil {
 		return err
 	}
-	for i, zone := range []string{"lothian-a", "clyde-a", "grampian-a"} {
-		w.controls = append(w.controls, &machine{w: w, name: "core-" + zone + "-1", role: "control", zone: zone, region: regionOf[zone], ip: w.ip(i)})
+	for i, zone := range controlZones {
+		w.controls = append(w.controls, &machine{w: w, name: fmt.Sprintf("core-%s-%d", zone, i/seedCount+1), role: "control", zone: zone, region: regionOf[zone], ip: w.ip(i)})
 	}
 	for i, zone := range entryZones {
-		w.entries = append(w.entries, &machine{w: w, name: fmt.Sprintf("front-%s-%d", zone, i+1), role: "entry", zone: zone, region: regionOf[zone], ip: w.ip(3 + i)})
+		w.entries = append(w.entries, &machine{w: w, name: fmt.Sprintf("front-%s-%d", zone, i+1), role: "entry", zone: zone, region: regionOf[zone], ip: w.ip(len(controlZones) + i)})
 	}
 	for _, m := range append(append([]*machine{}, w.controls...), w.entries...) {
 		if err := m.start(); err != nil {
@@ -222,7 +230,7 @@
 func (m *machine) settings() ([]byte, error) {
 	w := m.w
 	var seeds []string
-	for _, c := range w.controls {
+	for _, c := range w.controls[:seedCount] {
 		seeds = append(seeds, c.address(portControl))
 	}
 	listen := map[string]string{"front": m.address(portFront), "readiness": m.address(portReadiness), "directory": m.address(portDirectory)}
@@ -308,6 +316,7 @@
 		"version": version,
 		"routes": []any{
 			map[string]any{"name": "plan", "host": "parish.example", "pathPrefix": "/plan/", "kind": "streaming", "timeoutMs": 5000, "sloMs": 1000, "priority": 1, "service": "pool", "attempts": 2, "anonymous": false, "sticky": true, "resumable": true, "gapAimMs": 400, "allowedRegions": []string{}},
+			map[string]any{"name": "summary", "host": "parish.example", "pathPrefix": "/summary/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 1500, "priority": 0, "service": "pool", "attempts": 1, "anonymous": false, "sticky": true, "resumable": true, "gapAimMs": 400, "allowedRegions": []string{}},
 			map[string]any{"name": "query", "host": "parish.example", "pathPrefix": "/query/", "kind": "streaming", "timeoutMs": 15000, "sloMs": 1500, "priority": 0, "service": "pool", "attempts": 1, "anonymous": false, "sticky": true, "resumable": false, "gapAimMs": 400, "allowedRegions": []string{}},
 		},
 		"services": []any{map[string]any{"name": "pool", "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false, "warmupS": 3.0, "coldPerS": 2.3, "engine": engine}},
