--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -43,5 +43,6 @@
 	"order":  playOrder,
 	"whole":  playWhole,
 	"part":   playPart,
+	"gone":   playGone,
 	"region": playRegion,
 }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -26,7 +27,9 @@
 	interval                   time.Duration
 	unframed                   bool // answers have neither a length nor chunks
 	firstReport                time.Duration
-	crashPart                  string // part of a prompt under which the server crashes; empty: none
+	crashPart                  string        // part of a prompt under which the server crashes; empty: none
+	servesOn                   time.Duration // after it has deregistered
+	deregistered               atomic.Bool
 	born                       int64
 	seq                        atomic.Int64
 }
@@ -46,6 +49,7 @@
 	f.BoolVar(&s.unframed, "unframed", false, "answers have neither a length nor chunks")
 	f.DurationVar(&s.firstReport, "first-report", 0, "time that the first liveness report takes to arrive")
 	f.StringVar(&s.crashPart, "crash-part", "", "part of a prompt under which the server crashes")
+	f.DurationVar(&s.servesOn, "serves-on", 4500*time.Millisecond, "time for which the server serves on after it has deregistered, on SIGUSR1")
 	_ = f.Parse(args)
 	s.controls = strings.Split(*controls, ",")
 	if s.address == "" {
@@ -57,6 +61,7 @@
 		os.Exit(exitNoRun)
 	}
 	go s.report()
+	go s.leave()
 	fmt.Fprintln(os.Stderr, http.Serve(l, s))
 }
 
@@ -64,7 +69,7 @@
 func (s *server) report() {
 	client := &http.Client{Timeout: time.Second}
 	time.Sleep(s.firstReport)
-	for n := 0; ; n++ {
+	for n := 0; !s.deregistered.Load(); n++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": 64, "state": "ready",
 			"warmupLeftMs": 0, "callSeq": s.seq.Add(1), "born": s.born, "stage": "colocated",
@@ -86,6 +91,30 @@
 	}
 }
 
+// leave waits for SIGUSR1, deregisters, serves on and exits.
+func (s *server) leave() {
+	leaves := make(chan os.Signal, 1)
+	signal.Notify(leaves, syscall.SIGUSR1)
+	<-leaves
+	s.deregistered.Store(true)
+	client := &http.Client{Timeout: time.Second}
+	body, _ := json.Marshal(map[string]any{"born": s.born})
+	for n := range 6 {
+		r, err := client.Post("http://"+s.controls[n%len(s.controls)]+"/Instances.Deregister/"+s.id, "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		note("deregisters", map[string]any{"server": s.id, "status": r.StatusCode})
+		if r.StatusCode/100 == 2 {
+			break
+		}
+	}
+	time.Sleep(s.servesOn)
+	note("exits", map[string]any{"server": s.id})
+	os.Exit(0)
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
