--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -80,10 +80,12 @@
 	defer func() {
 		if os.Getenv("REVIEW_KEEP") == "" {
 			_ = os.RemoveAll(w.folder)
+			return
 		}
+		fmt.Fprintln(os.Stderr, "logs in", w.folder)
 	}()
 	defer w.endAll()
-	w.log("trouble: %v, logs in %s", w.trouble, w.folder)
+	w.log("trouble: %v", w.trouble)
 	broken, err := play(w)
 	switch {
 	case err != nil:
