--- a/review/standin-2/part.go
+++ b/review/standin-2/part.go
@@ -17,7 +17,7 @@
 	downTime = 2500 * time.Millisecond
 	// soundRequests is the number of sound requests before the crashes, and again after them; the rule asks for 20. With
 	// that many, requests with crashPart are less than 3 in 100.
-	soundRequests = 70
+	soundRequests = 90
 	soundGap      = 100 * time.Millisecond
 	stableWindow  = 6 * time.Second
 )
@@ -94,6 +94,7 @@
 	go poison(0)
 	time.Sleep(200 * time.Millisecond)
 	begunAfter := w.sound()
+	poison(1) // such requests still come
 	w.log("%d crashes; of %d sound requests each, %d began before the crashes and %d from %v after the last one; the rule asks for half as many",
 		crashes.Load(), soundRequests, begunBefore, begunAfter, 2*stableWindow)
 	if begunBefore < soundRequests/2 {
