Quarantine parts that explain the same ends only together

Cause: two parts were at the same ends, so the evidence was the same for both, and the leader chose the one with the larger hash. With the shared part quarantined no request could show that upstreams survive it, so nothing undid the choice. A whole request was chosen before any part, so prompts with the same body were refused for the one that crashed. Logs did not say which parts explained the same ends.

Change: of parts with the same ends, those that no upstream is known to have survived are suspected before the others. If several remain, only requests that have all of them are refused. Others go on: a survival, or one more end, then excludes parts, also after the ends themselves have expired. Survivals are kept for an hour in place of two minutes. One end more under a part that was survived before no longer outweighs a part that was not. Hosts of an earlier version read the part that is furthest from the beginning of the prompt and refuse all requests with it; an entry that came through such a host is replaced by the whole one. "quarantine decided" names the parts beside and the time since a survival.

--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -32,8 +32,8 @@
 
 func (k *Cluster) logQuarantine(part uint64, from string) {
 	left, quarantined := k.Quarantine.Find(part)
-	k.c.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Bool("quarantined", quarantined).Dur("left", left).
-		Str("from", from).Msg("quarantine learned")
+	k.c.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Strs("beside", quarantiner.KeyNames(k.Quarantine.Beside(part))).
+		Bool("quarantined", quarantined).Dur("left", left).Str("from", from).Msg("quarantine learned")
 }
 
 // decideQuarantine quarantines and releases requests and parts of prompts. Only the leader does.
@@ -42,7 +42,7 @@
 		return
 	}
 	for _, d := range k.Evidence.Decide(k.Quarantine) {
-		k.c.Log.Warn().Hex("part", quarantiner.AppendKey(nil, d.Part)).Bool("quarantined", !d.Released).Int("ends", d.Ends).
-			Dur("left", quarantiner.QuarantineTime).Msg("quarantine decided")
+		k.c.Log.Warn().Hex("part", quarantiner.AppendKey(nil, d.Part)).Strs("beside", quarantiner.KeyNames(d.Beside)).
+			Bool("quarantined", !d.Released).Int("ends", d.Ends).Dur("survived", d.Survived).Dur("left", quarantiner.QuarantineTime).Msg("quarantine decided")
 	}
 }
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -24,24 +24,24 @@
 	return r.keyedParts
 }
 
-// checkQuarantine returns a refusal if the request or a part of its prompt is quarantined. It is called
+// checkQuarantine returns a refusal if the request or parts of its prompt are quarantined. It is called
 // when a request arrives and before each attempt.
 func (f *Forwarder) checkQuarantine(r *Request) error {
 	if f.Quarantine == nil {
 		return nil
 	}
-	for i, p := range r.quarantineParts() {
-		if left, found := f.Quarantine.Find(p.Key); found {
-			cause := causePartQuarantined
-			if i == 0 {
-				cause = causeRequestQuarantined
-			}
-			refusal := refuse(http.StatusServiceUnavailable, cause, left)
-			refusal.Part = p.ID
-			return refusal
-		}
+	parts := r.quarantineParts()
+	p, left, found := f.Quarantine.FindIn(parts)
+	if !found {
+		return nil
+	}
+	cause := causePartQuarantined
+	if p.Key == parts[0].Key {
+		cause = causeRequestQuarantined
 	}
-	return nil
+	refusal := refuse(http.StatusServiceUnavailable, cause, left)
+	refusal.Part = p.ID
+	return refusal
 }
 
 // isQuarantined reports whether err is a refusal of a quarantined request, or for a part of its prompt,
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -6,7 +6,9 @@
 // just begun to answer, or was about to: their parts are suspects. A part that an upstream survives
 // is cleared. Control hosts collect these findings in an Evidence, whose leader decides. A part is
 // quarantined after several ends, at intervals, that no upstream survived in between, if no other
-// part explains them. Upstreams that end together for another cause thus accuse no part. A whole
+// part explains them. If several explain the same ends, one that upstreams are known to have survived before
+// is not at fault; of the rest, only requests that have all of them are refused, until an upstream survives
+// one or ends under some only. Upstreams that end together for another cause thus accuse no part. A whole
 // request that no upstream is known to have survived needs a shorter interval: many requests share a
 // part of a prompt, but hardly one that was never answered is at three upstreams when they end.
 //
@@ -18,6 +20,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,6 +31,15 @@
 // AppendKey appends a part's hash to b, most significant byte first.
 func AppendKey(b []byte, part uint64) []byte { return binary.BigEndian.AppendUint64(b, part) }
 
+// KeyNames returns the names of parts in logs.
+func KeyNames(parts []uint64) []string {
+	var names []string
+	for _, part := range parts {
+		names = append(names, hex.EncodeToString(AppendKey(nil, part)))
+	}
+	return names
+}
+
 // requestBit is set in the keys of whole requests and not in those of parts of prompts.
 const requestBit = 1 << 63
 
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// Time for which ends of upstreams and survivals are kept.
+	// Time for which ends of upstreams are kept.
 	evidenceTime = 2 * time.Minute
+	// Time for which survivals are kept: quiet times last longer than the evidence of ends, and what
+	// upstreams survived before them is what tells shared parts from one that crashes upstreams.
+	survivalMemory = time.Hour
 	// Number of ends, none of which an upstream survived, after which a part is quarantined, and the
 	// interval from one that counts to the next. Upstreams that end together may have a common cause
 	// that is none of the requests there; a part that was tried again and crashed again has not.
@@ -26,6 +29,9 @@
 	// Interval between the first and the last of the ends that suffice for a whole request that no
 	// upstream is known to have survived: more than ends at one moment are apart.
 	minRequestSpan = 250 * time.Millisecond
+	// Number of ends under a part that upstreams survived before which may have another cause, if a part
+	// that none is known to have survived explains the others.
+	unrelatedEnds = 1
 	// Time after the last change of the evidence for which decisions are made: nothing changes later.
 	decideTime = 10 * time.Second
 	// Bounds of what is kept: ends, parts of one end, parts with a survival, suspects.
@@ -60,8 +66,8 @@
 
 // end is the end of one process of an upstream.
 type end struct {
-	at       time.Duration // as first reported
-	parts    map[uint64]bool
+	at       time.Duration  // as first reported
+	parts    map[uint64]int // positions as reported: a prompt's shared beginning comes first
 	revision uint64
 }
 
@@ -86,7 +92,7 @@
 		}
 	}
 	for _, m := range f.GetSurvivals() {
-		if age := timer.Seconds(m.Age); age >= 0 && age <= evidenceTime {
+		if age := timer.Seconds(m.Age); age >= 0 && age <= survivalMemory {
 			e.storeSurvival(m.Part, now-age)
 		}
 	}
@@ -101,14 +107,14 @@
 	k := endKey{m.Upstream, m.Incarnation}
 	x, known := e.ends[k]
 	if !known {
-		x = &end{at: at, parts: map[uint64]bool{}}
+		x = &end{at: at, parts: map[uint64]int{}}
 		e.ends[k] = x
 	}
 	changed := !known || at < x.at-endInterval
 	x.at = min(x.at, at)
 	for _, p := range m.Parts {
-		if !x.parts[p] && len(x.parts) < maxEndParts {
-			x.parts[p] = true
+		if _, ok := x.parts[p]; !ok && len(x.parts) < maxEndParts {
+			x.parts[p] = len(x.parts)
 			changed = true
 		}
 	}
@@ -130,11 +136,15 @@
 		e.survivals = map[uint64]survival{}
 	}
 	x, known := e.survivals[part]
-	if known && at < x.at+endInterval/2 || !known && len(e.survivals) >= maxSurvivals {
+	if known && at < x.at+endInterval/2 {
 		return
 	}
 	e.revision++
 	e.survivals[part] = survival{at: at, revision: e.revision}
+	if len(e.survivals) > maxSurvivals {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(e.survivals)), func(a, b uint64) int { return cmp.Compare(e.survivals[a].at, e.survivals[b].at) })
+		delete(e.survivals, oldest)
+	}
 }
 
 // Since returns the ends and survivals that changed after a revision, and the present revision.
@@ -146,8 +156,8 @@
 	f := &schema.Findings{}
 	for k, x := range e.ends {
 		if x.revision > revision {
-			m := &schema.UpstreamEnd{Upstream: k.upstream, Incarnation: k.incarnation, Age: (now - x.at).Seconds(), Parts: slices.Sorted(maps.Keys(x.parts))}
-			f.Ends = append(f.Ends, m)
+			parts := slices.SortedFunc(maps.Keys(x.parts), func(a, b uint64) int { return cmp.Compare(x.parts[a], x.parts[b]) })
+			f.Ends = append(f.Ends, &schema.UpstreamEnd{Upstream: k.upstream, Incarnation: k.incarnation, Age: (now - x.at).Seconds(), Parts: parts})
 		}
 	}
 	slices.SortFunc(f.Ends, func(a, b *schema.UpstreamEnd) int {
@@ -161,10 +171,10 @@
 	return f, e.revision
 }
 
-// expire deletes what is older than evidenceTime. The caller holds mu.
+// expire deletes ends and survivals that are too old. The caller holds mu.
 func (e *Evidence) expire(now time.Duration) {
 	maps.DeleteFunc(e.ends, func(_ endKey, x *end) bool { return now-x.at > evidenceTime })
-	maps.DeleteFunc(e.survivals, func(_ uint64, x survival) bool { return now-x.at > evidenceTime })
+	maps.DeleteFunc(e.survivals, func(_ uint64, x survival) bool { return now-x.at > survivalMemory })
 }
 
 // Suspects returns the parts whose survivals hosts are asked for.
@@ -184,10 +194,14 @@
 // Decision is a change of a part's quarantine.
 type Decision struct {
 	Part uint64
+	// Beside are the parts that prompts must also have to be refused, sorted.
+	Beside []uint64
 	// Released is set if the quarantine was ended before its time, else the part was quarantined.
 	Released bool
 	// Ends is the number of upstreams that ended under the part.
 	Ends int
+	// Survived is the time since an upstream is known to have survived the part; 0 if none is.
+	Survived time.Duration
 }
 
 // Decide quarantines and releases parts in g by the present evidence, and chooses the suspects. Only
@@ -200,34 +214,83 @@
 	if e.revision != e.decided {
 		e.decided, e.changedAt = e.revision, now
 	}
-	if len(e.ends) == 0 {
-		e.suspects = nil
-		return nil
-	}
 	if now-e.changedAt > decideTime {
+		if len(e.ends) == 0 {
+			e.suspects = nil
+		}
+		e.suspects = addSuspects(ambiguous(g), e.suspects)
 		return nil
 	}
 	accused := e.accused()
-	guilty := e.guilty(accused, g, now)
 	var decisions []Decision
-	for _, part := range guilty {
-		if x, _ := g.lookup(part); !x.quarantined(now) {
-			g.decide(part, false)
-			decisions = append(decisions, Decision{Part: part, Ends: len(accused[part])})
+	decide := func(part uint64, release bool, beside []uint64) {
+		g.decide(part, release, beside...)
+		d := Decision{Part: part, Beside: beside, Released: release, Ends: len(accused[part])}
+		if s, ok := e.survivals[part]; ok {
+			d.Survived = now - s.at
+		}
+		decisions = append(decisions, d)
+	}
+	guilty := e.guilty(accused, g, now)
+	for _, x := range guilty {
+		old, _ := g.lookup(x.part)
+		if !old.quarantined(now) {
+			decide(x.part, false, x.beside)
+			continue
+		}
+		// Neither the parts that were excluded before nor those that the present evidence excludes.
+		beside := slices.DeleteFunc(slices.Clone(old.beside), func(p uint64) bool { return !slices.Contains(x.beside, p) })
+		if len(beside) < len(old.beside) {
+			decide(x.part, false, beside)
 		}
 	}
 	for _, part := range g.Quarantined() {
+		if slices.ContainsFunc(guilty, func(x suspicion) bool { return x.part == part }) {
+			continue
+		}
 		x, _ := g.lookup(part)
-		explained := e.sufficient(accused[part], g, part, now) && !slices.Contains(guilty, part)
-		if s, ok := e.survivals[part]; explained || ok && s.at > x.decidedAt {
-			g.decide(part, true)
-			decisions = append(decisions, Decision{Part: part, Released: true, Ends: len(accused[part])})
+		survived := func(p uint64) bool { s, ok := e.survivals[p]; return ok && s.at > x.decidedAt }
+		beside := slices.DeleteFunc(slices.Clone(x.beside), survived)
+		switch {
+		case e.sufficient(accused[part], g, part, now): // another part explains its ends
+			decide(part, true, nil)
+		case survived(part):
+			decide(part, true, nil)
+			if len(beside) > 0 && !slices.ContainsFunc(beside, func(p uint64) bool { _, found := g.Find(p); return found }) {
+				decide(beside[0], false, beside[1:])
+			}
+		case len(beside) < len(x.beside):
+			decide(part, false, beside)
 		}
 	}
 	e.chooseSuspects(accused, g)
+	e.suspects = addSuspects(ambiguous(g), e.suspects)
 	return decisions
 }
 
+// ambiguous returns the parts of which some crash upstreams, but which ones is open.
+func ambiguous(g *Register) []uint64 {
+	var all []uint64
+	for _, part := range g.Quarantined() {
+		if beside := g.Beside(part); len(beside) > 0 {
+			all = append(append(all, part), beside...)
+		}
+	}
+	return all
+}
+
+// addSuspects returns the first maxSuspects parts of both lists, sorted.
+func addSuspects(first, second []uint64) []uint64 {
+	var all []uint64
+	for _, part := range slices.Concat(first, second) {
+		if len(all) < maxSuspects && !slices.Contains(all, part) {
+			all = append(all, part)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // accused returns the ends after the last survival of each part, in order. The caller holds mu.
 func (e *Evidence) accused() map[uint64][]*end {
 	all := map[uint64][]*end{}
@@ -255,12 +318,21 @@
 	return times
 }
 
+// suspicion is a part for which the evidence suffices.
+type suspicion struct {
+	part uint64
+	// beside are the parts that explain the same ends, sorted. Refusing only prompts that have all of them
+	// stops those that crash upstreams; others show which of the parts upstreams survive.
+	beside []uint64
+}
+
 // guilty returns the parts for which the evidence suffices: first the one that explains most ends,
 // then the one that explains most of the rest, and so on. Parts that only occurred beside a guilty one
 // are not among them, but whole requests that explain just the same ends are: which of them crashed the
-// upstreams is open until one more ends. The caller holds mu.
-func (e *Evidence) guilty(accused map[uint64][]*end, g *Register, now time.Duration) []uint64 {
-	var parts []uint64
+// upstreams is open until one more ends. Requests with the same body may have different prompts, so parts
+// of the prompt are beside a whole request too. The caller holds mu.
+func (e *Evidence) guilty(accused map[uint64][]*end, g *Register, now time.Duration) []suspicion {
+	var found []suspicion
 	explained := map[*end]bool{}
 	remaining := maps.Clone(accused)
 	for {
@@ -271,46 +343,86 @@
 			if !e.sufficient(ends, g, part, now) {
 				continue
 			}
-			if score := len(ends); score > bestScore || score == bestScore && preferred(g, part, best, now) {
+			if score := e.score(part, ends); score > bestScore || score == bestScore && e.preferred(part, best) {
 				best, bestScore = part, score
 			}
 		}
 		if bestScore == 0 {
-			return parts
+			return found
 		}
-		parts = append(parts, best)
+		var requests, parts []uint64 // that explain just the same ends
 		for part, ends := range remaining {
-			if part != best && isRequest(best) && isRequest(part) && slices.Equal(ends, remaining[best]) && e.sufficient(ends, g, part, now) {
+			switch {
+			case e.survivedBefore(part) != e.survivedBefore(best) || !slices.Equal(ends, remaining[best]):
+			case !isRequest(part) && (isRequest(best) || e.sufficient(ends, g, part, now)):
 				parts = append(parts, part)
+			case isRequest(part) && isRequest(best) && e.sufficient(ends, g, part, now):
+				requests = append(requests, part)
 			}
 		}
+		slices.Sort(parts)
+		parts = slices.DeleteFunc(parts, func(part uint64) bool { return part == best })
+		parts = parts[:min(len(parts), maxBeside)]
+		if !isRequest(best) {
+			found = append(found, suspicion{part: best, beside: parts})
+		}
+		for _, part := range slices.Sorted(slices.Values(requests)) {
+			found = append(found, suspicion{part: part, beside: parts})
+		}
 		for _, x := range remaining[best] {
 			explained[x] = true
 		}
 	}
 }
 
-// preferred reports whether of two parts with the same evidence a is to be quarantined: one that is
-// already, else a whole request, which fewer callers miss.
-func preferred(g *Register, a, b uint64, now time.Duration) bool {
-	x, _ := g.lookup(a)
-	y, _ := g.lookup(b)
-	if x.quarantined(now) != y.quarantined(now) {
-		return x.quarantined(now)
+// score returns the weight of ends, none of which an upstream survived, against a part. The caller holds mu.
+func (e *Evidence) score(part uint64, ends []*end) int {
+	if e.survivedBefore(part) && !isRequest(part) {
+		return max(1, len(ends)-unrelatedEnds)
+	}
+	return len(ends)
+}
+
+// survivedBefore reports whether an upstream is known to have survived a part, before the ends of which it
+// is accused. The caller holds mu.
+func (e *Evidence) survivedBefore(part uint64) bool {
+	_, ok := e.survivals[part]
+	return ok
+}
+
+// preferred reports whether of two parts with the same evidence a is to be quarantined: one that no
+// upstream is known to have survived, else a whole request, which fewer callers miss, else the part further
+// from the beginning of prompts, which sound ones are likelier to share. The caller holds mu.
+func (e *Evidence) preferred(a, b uint64) bool {
+	if x, y := e.survivedBefore(a), e.survivedBefore(b); x != y {
+		return y
 	}
 	if isRequest(a) != isRequest(b) {
 		return isRequest(a)
 	}
+	if x, y := e.position(a), e.position(b); x != y {
+		return x > y
+	}
 	return a > b
 }
 
+// position returns the furthest position of a part in what was reported of an end. The caller holds mu.
+func (e *Evidence) position(part uint64) int {
+	position := 0
+	for _, x := range e.ends {
+		position = max(position, x.parts[part])
+	}
+	return position
+}
+
 // sufficient reports whether ends, in order, suffice to quarantine a part. The caller holds mu.
 func (e *Evidence) sufficient(ends []*end, g *Register, part uint64, now time.Duration) bool {
 	required := requiredEnds
 	if x, known := g.lookup(part); known && !x.released && !x.quarantined(now) {
 		required = 1 // on probation
 	}
-	if _, survived := e.survivals[part]; isRequest(part) && !survived && required > 1 {
+	s, survived := e.survivals[part]
+	if isRequest(part) && required > 1 && (!survived || now-s.at > evidenceTime) {
 		return sufficientForRequest(ends, now)
 	}
 	times := spaced(ends)
@@ -318,7 +430,7 @@
 }
 
 // sufficientForRequest reports whether ends, in order, suffice to quarantine a whole request that no
-// upstream is known to have survived.
+// upstream is known to have survived lately.
 func sufficientForRequest(ends []*end, now time.Duration) bool {
 	for i := requiredEnds - 1; i < len(ends); i++ {
 		if ends[i].at-ends[0].at >= minRequestSpan {
--- a/internal/quarantiner/evidence_test.go
+++ b/internal/quarantiner/evidence_test.go
@@ -33,8 +33,14 @@
 	return all
 }
 
-// decide stores findings at their times and returns the parts in quarantine a minute after the start.
+// decide returns the parts in quarantine after findings.
 func decide(t *testing.T, findings []finding, until time.Duration) []uint64 {
+	t.Helper()
+	return register(t, findings, until).Quarantined()
+}
+
+// register stores findings at their times, decides all the while, and returns the decisions.
+func register(t *testing.T, findings []finding, until time.Duration) *Register {
 	t.Helper()
 	clock := &timer.Service{Clock: &timer.ManualClock{}}
 	clock.Advance(time.Hour)
@@ -56,7 +62,7 @@
 		e.Decide(g)
 		clock.Advance(start + now + 100*time.Millisecond - clock.Now())
 	}
-	return g.Quarantined()
+	return g
 }
 
 // TestDecisions guards against quarantining sound requests and parts, and against letting one that
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -127,10 +127,8 @@
 // sendParts sends a request like send.
 func (f *fleet) sendParts(crashes bool, all ...Part) bool {
 	e := f.entries[f.random.IntN(len(f.entries))]
-	for _, p := range all {
-		if _, found := e.register.Find(p.Key); found {
-			return false
-		}
+	if _, _, found := e.register.FindIn(all); found {
+		return false
 	}
 	if !crashes {
 		e.observer.recordSurvival(all)
--- a/internal/quarantiner/observer.go
+++ b/internal/quarantiner/observer.go
@@ -283,7 +283,7 @@
 		if !ok {
 			at, ok = o.previous[part]
 		}
-		if ok && now-at < evidenceTime {
+		if ok && now-at < survivalMemory {
 			f.Survivals = append(f.Survivals, &schema.Survival{Part: part, Age: (now - at).Seconds()})
 		}
 	}
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -22,8 +22,9 @@
 	// Time after the end of a quarantine for which the part is remembered: a single end then
 	// suffices to quarantine it again.
 	probationTime = 24 * time.Hour
-	// Maximum number of entries, those on probation included.
+	// Maximum number of entries, those on probation included, and of the parts beside one.
 	maxEntries = 512
+	maxBeside  = 64
 )
 
 // Register holds the decisions about parts. Set Now before use. It is safe for concurrent use.
@@ -38,15 +39,18 @@
 
 // entry is the last decision about a part.
 type entry struct {
-	number    uint32 // of the decision
-	released  bool
+	number   uint32 // of the decision
+	released bool
+	// beside are the parts that explain the same ends, sorted: only prompts with all of them are refused.
+	beside    []uint64
 	decidedAt time.Duration // when this host made the decision or received it
 	until     time.Duration // end of the quarantine
 }
 
 func (x entry) quarantined(now time.Duration) bool { return !x.released && now < x.until }
 
-// Find reports whether a part is quarantined, and returns the time until its quarantine ends.
+// Find reports whether a part is quarantined, alone or beside others, and returns the time until its
+// quarantine ends.
 func (g *Register) Find(part uint64) (left time.Duration, found bool) {
 	if g.active.Load() == 0 {
 		return 0, false
@@ -56,6 +60,36 @@
 	return x.until - now, known && x.quarantined(now)
 }
 
+// FindIn returns the first of a request's parts for which the request is refused, and the time until that
+// part's quarantine ends.
+func (g *Register) FindIn(parts []Part) (part Part, left time.Duration, found bool) {
+	if g.active.Load() == 0 {
+		return Part{}, 0, false
+	}
+	now := g.Now()
+	for _, p := range parts {
+		if x, known := g.lookup(p.Key); known && x.quarantined(now) && containsAll(parts, x.beside) {
+			return p, x.until - now, true
+		}
+	}
+	return Part{}, 0, false
+}
+
+func containsAll(parts []Part, keys []uint64) bool {
+	for _, k := range keys {
+		if !slices.ContainsFunc(parts, func(p Part) bool { return p.Key == k }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Beside returns the parts that prompts must also have to be refused for a quarantined part, sorted.
+func (g *Register) Beside(part uint64) []uint64 {
+	x, _ := g.lookup(part)
+	return x.beside
+}
+
 // Quarantined returns the parts in quarantine, sorted.
 func (g *Register) Quarantined() []uint64 {
 	g.mu.Lock()
@@ -79,12 +113,13 @@
 	return x, ok
 }
 
-// decide records a decision of this host.
-func (g *Register) decide(part uint64, release bool) {
+// decide records a decision of this host. beside are the other parts that prompts must have to be refused,
+// sorted.
+func (g *Register) decide(part uint64, release bool, beside ...uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	x := entry{number: g.entries[part].number + 1, released: release, decidedAt: now, until: now + QuarantineTime}
+	x := entry{number: g.entries[part].number + 1, released: release, beside: beside, decidedAt: now, until: now + QuarantineTime}
 	if release {
 		x.until = now
 	}
@@ -107,7 +142,8 @@
 }
 
 // Merge adds another host's entries and returns the parts whose quarantine this changed. Of two
-// decisions about a part the one with the higher number holds.
+// decisions about a part the one with the higher number holds. A host of an earlier version passes a
+// decision on without the parts beside.
 func (g *Register) Merge(list []*schema.QuarantinedPart) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -116,18 +152,28 @@
 	for _, m := range list {
 		until := now + timer.Seconds(min(m.Left, QuarantineTime.Seconds()))
 		old, known := g.entries[m.Part]
-		if now-until > probationTime || known && old.number >= m.Number {
+		beside := slices.Sorted(slices.Values(m.Beside[:min(len(m.Beside), maxBeside)]))
+		if now-until > probationTime || known && !supersedes(m, old, beside) {
 			continue
 		}
-		x := entry{number: m.Number, released: m.Released, decidedAt: now, until: until}
+		x := entry{number: m.Number, released: m.Released, beside: beside, decidedAt: now, until: until}
 		g.store(m.Part, x)
-		if x.quarantined(now) != old.quarantined(now) {
+		if x.quarantined(now) != old.quarantined(now) || !slices.Equal(beside, old.beside) {
 			changed = append(changed, m.Part)
 		}
 	}
 	return changed
 }
 
+// supersedes reports whether a decision from another host, with the parts beside, replaces an entry. Of two
+// with the same number the one that names more parts beside does, so that all hosts end with the same one.
+func supersedes(m *schema.QuarantinedPart, old entry, beside []uint64) bool {
+	if m.Number != old.number {
+		return m.Number > old.number
+	}
+	return m.Released == old.released && cmp.Or(cmp.Compare(len(beside), len(old.beside)), slices.Compare(beside, old.beside)) > 0
+}
+
 // List returns all entries, sorted by part.
 func (g *Register) List() []*schema.QuarantinedPart {
 	g.mu.Lock()
@@ -136,7 +182,7 @@
 	var list []*schema.QuarantinedPart
 	for _, part := range g.sortedParts(now) {
 		x := g.entries[part]
-		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds()})
+		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds(), Beside: x.beside})
 	}
 	return list
 }
@@ -152,6 +198,9 @@
 	for _, part := range g.sortedParts(g.Now()) {
 		b = binary.LittleEndian.AppendUint64(b, part)
 		b = binary.LittleEndian.AppendUint32(b, g.entries[part].number)
+		for _, other := range g.entries[part].beside {
+			b = binary.LittleEndian.AppendUint64(b, other)
+		}
 	}
 	if len(b) == 0 {
 		return 0
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -320,8 +320,8 @@
 	if r.Findings != nil {
 		for _, part := range r.Findings.Apply(reply.Findings, reply.Process) {
 			left, quarantined := r.Findings.Register.Find(part)
-			r.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Bool("quarantined", quarantined).Dur("left", left).
-				Str("control", r.controlAddress).Msg("quarantine learned")
+			r.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Strs("beside", quarantiner.KeyNames(r.Findings.Register.Beside(part))).
+				Bool("quarantined", quarantined).Dur("left", left).Str("control", r.controlAddress).Msg("quarantine learned")
 		}
 	}
 	r.cursor, r.cursorProcess = reply.Cursor, reply.Process
