Repeat no request while it is open which part crashes upstreams

Requests with a part that crashes upstreams and another companion than those before reach upstreams as long as only the former companions' combination is refused.

Cause: each such request was repeated at a second upstream, 0.1 s after the first had ended, when no host could know of that end yet. So each cost two upstreams where one suffices to exclude the former companion.

Change: a request under which an upstream broke off is not repeated if it has any of the parts among which the choice is open. A sound one that lost its upstream for another cause is not repeated either in that time; it ends once an upstream survives one of its parts.

TestOpenQuarantineStopsRepeats failed in two of its four cases before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -241,7 +241,7 @@
 		// What broke this connection may have broken the idle ones too.
 		f.Pool.CloseIdle(reservation.Address)
 		r.mayHaveRun = true
-		recordEnd(ctx, s.run, err)
+		recordEnd(ctx, r, s.run, err)
 		return errors.Join(errUpstreamFailed, err)
 	}
 	defer call.Close()
@@ -252,7 +252,7 @@
 		s.run.RecordUnframed()
 		return nil
 	}
-	recordEnd(ctx, s.run, err)
+	recordEnd(ctx, r, s.run, err)
 	return err
 }
 
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -31,7 +31,11 @@
 		return nil
 	}
 	parts := r.quarantineParts()
-	p, left, found := f.Quarantine.FindIn(parts)
+	find := f.Quarantine.FindIn
+	if r.brokenOff {
+		find = f.Quarantine.FindInRepeat
+	}
+	p, left, found := find(parts)
 	if !found {
 		return nil
 	}
@@ -61,12 +65,13 @@
 }
 
 // recordEnd records how an attempt that was sent ended.
-func recordEnd(ctx context.Context, run *quarantiner.Run, err error) {
+func recordEnd(ctx context.Context, r *Request, run *quarantiner.Run, err error) {
 	brokenOff := errors.Is(err, pooler.ErrConnectionLost) || errors.Is(err, pooler.ErrMalformedResponse) || errors.Is(err, errUnfinished)
 	switch {
 	case err == nil:
 		run.RecordComplete()
 	case brokenOff && ctx.Err() == nil:
+		r.brokenOff = true
 		run.RecordLost()
 	}
 }
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -132,6 +132,46 @@
 	}
 }
 
+// TestOpenQuarantineStopsRepeats guards against sending a request to another upstream after one ended under
+// it, while it is open which of several parts crashes upstreams, and against refusing it before that.
+func TestOpenQuarantineStopsRepeats(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		parts []string
+		want  result
+		sent  int
+	}{
+		{"one of the parts", []string{"base", "own"}, result{Status: 502, Cause: causePartQuarantined}, 1},
+		{"the other one", []string{"bad", "other", "own"}, result{Status: 502, Cause: causePartQuarantined}, 1},
+		{"neither", []string{"other", "own"}, result{Status: 200, Body: events, Finished: true}, 2},
+		{"both", []string{"base", "bad", "own"}, result{Status: 503, Cause: causePartQuarantined}, 0},
+	} {
+		s := newSystem(t)
+		s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
+		s.Quarantine.Merge([]*schema.QuarantinedPart{{Part: quarantiner.PartKey("bad"), Number: 1, Left: 60, Beside: []uint64{quarantiner.PartKey("base")}}})
+		ended := false
+		endOnce := func(w http.ResponseWriter, r *http.Request) {
+			if ended {
+				text(200, events)(w, r)
+				return
+			}
+			ended = true
+			truncate("")(w, r)
+		}
+		s.Scheduler.UpdateUpstreams([]*schema.Announcement{
+			{Name: "u0", Address: s.upstream(t, "u0", []scriptStep{endOnce}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1},
+			{Name: "u1", Address: s.upstream(t, "u1", []scriptStep{endOnce}), Pool: "p", Region: "r", Slots: 4, Incarnation: 1},
+		})
+		got, _ := s.callWithParts("/resume/x", c.parts...)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+		if n := len(s.allArrivals()); n != c.sent {
+			t.Errorf("%s: %d upstreams got the request, want %d", c.name, n, c.sent)
+		}
+	}
+}
+
 // TestLostAnswersAreObserved guards against ends of upstreams that nothing relates to the requests
 // there: with a length, in chunks, and ended by the connection.
 func TestLostAnswersAreObserved(t *testing.T) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -53,6 +53,7 @@
 	reached       int                // upstreams that received it, also those that rejected it
 	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
+	brokenOff     bool               // an upstream may have ended under it
 	mayHaveRun    bool
 	software      *string           // version of the software that began the stream; nil before its first event
 	resumeRegions []string          // that have upstreams of that version; nil: not known
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -134,11 +134,35 @@
 		e.observer.recordSurvival(all)
 		return true
 	}
+	f.crash(e, all)
+	return true
+}
+
+// crash lets an upstream end under a request of an entry host.
+func (f *fleet) crash(e *testEntry, all []Part) {
 	f.upstreams++
 	e.observer.mu.Lock()
 	defer e.observer.mu.Unlock()
 	e.observer.storeEnd(Upstream{Name: fmt.Sprint("u", f.upstreams)}, &loss{at: f.clock.Now(), parts: all})
-	return true
+}
+
+// sendTwice sends a request that crashes upstreams through a random host, which repeats it once. It returns
+// the number of upstreams that ended.
+func (f *fleet) sendTwice(parts ...string) int {
+	var all []Part
+	for _, id := range parts {
+		all = append(all, Part{ID: id, Key: PartKey(id)})
+	}
+	e := f.entries[f.random.IntN(len(f.entries))]
+	if _, _, found := e.register.FindIn(all); found {
+		return 0
+	}
+	f.crash(e, all)
+	if _, _, found := e.register.FindInRepeat(all); found {
+		return 1
+	}
+	f.crash(e, all)
+	return 2
 }
 
 // disturbances are sizes of fleets, and what happens to them while requests crash upstreams.
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -75,6 +75,28 @@
 	return Part{}, 0, false
 }
 
+// FindInRepeat is FindIn for a request under which an upstream may have ended. It is also refused for any of
+// several parts of which it is open which one crashes upstreams: a repeat would cost another upstream before
+// the evidence of the first one has arrived.
+func (g *Register) FindInRepeat(parts []Part) (part Part, left time.Duration, found bool) {
+	if part, left, found = g.FindIn(parts); found || g.active.Load() == 0 {
+		return part, left, found
+	}
+	now := g.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, x := range g.entries {
+		if len(x.beside) == 0 || !x.quarantined(now) {
+			continue
+		}
+		i := slices.IndexFunc(parts, func(p Part) bool { return p.Key == key || slices.Contains(x.beside, p.Key) })
+		if i >= 0 {
+			return parts[i], x.until - now, true
+		}
+	}
+	return Part{}, 0, false
+}
+
 func containsAll(parts []Part, keys []uint64) bool {
 	for _, k := range keys {
 		if !slices.ContainsFunc(parts, func(p Part) bool { return p.Key == k }) {
--- a/internal/quarantiner/shared_test.go
+++ b/internal/quarantiner/shared_test.go
@@ -224,3 +224,37 @@
 		}
 	}
 }
+
+// TestOtherCompanions guards against requests that crash one upstream after another because each has other
+// parts beside the one at fault than those before it had, and nothing is known of any.
+func TestOtherCompanions(t *testing.T) {
+	const gap = 750 * time.Millisecond
+	for _, c := range disturbances {
+		for seed := range uint64(10) {
+			f := newFleet(seed, c.controls, c.entries)
+			steps := 0
+			advance := func(d time.Duration) {
+				for range d / testStep {
+					steps++
+					c.disturb(f, steps)
+					f.step()
+				}
+			}
+			advance(3 * time.Second)
+			crash := func(customer int) int { return f.sendTwice("base", fmt.Sprint("customer", customer), "bad") }
+			for range boundedCrash {
+				crash(0)
+				advance(1300 * time.Millisecond)
+			}
+			advance(stableWindow)
+			late := 0
+			for i := range 12 {
+				late += crash(1 + i%4)
+				advance(gap)
+			}
+			if late > maxLateSends {
+				t.Errorf("%s, seed %d: %d late crashes, want at most %d", c.name, seed, late, maxLateSends)
+			}
+		}
+	}
+}
