Try quarantined parts with one request now and then

Callers saw 503 for an hour for a part that upstreams survive: one that a leader of an earlier version chose by chance from several with the same ends, one that is at ends of another cause in a quiet time, or one that an upstream's new version no longer crashes under.

A quarantine keeps away all requests that could show that it is wrong, so only its end after an hour, or a request that was under way when it began, could end it.

Change: hosts report the parts for which they refused requests in the last 3 s. 10 s after a quarantine began and again after 10 minutes the leader grants one trial, to the next host that reports the part; that sends one request, which is not repeated. A survival releases the part as before. A part that does crash upstreams costs two of them an hour, within the three that the platform allows. The number of trials is part of the register, so that a new leader does not grant them again. Hosts of an earlier version ignore the new fields and get no trial.

The tests of crashing parts and requests allow three late crashes as before; their hosts now use trials too.

--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -42,6 +42,10 @@
 		return
 	}
 	for _, d := range k.Evidence.Decide(k.Quarantine) {
+		if d.Trial {
+			k.c.Log.Info().Hex("part", quarantiner.AppendKey(nil, d.Part)).Strs("beside", quarantiner.KeyNames(d.Beside)).Msg("trial of a quarantined part granted")
+			continue
+		}
 		k.c.Log.Warn().Hex("part", quarantiner.AppendKey(nil, d.Part)).Strs("beside", quarantiner.KeyNames(d.Beside)).
 			Bool("quarantined", !d.Released).Int("ends", d.Ends).Dur("survived", d.Survived).Dur("left", quarantiner.QuarantineTime).Msg("quarantine decided")
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -142,7 +142,7 @@
 		t.refuse(sink, refusalOf(err))
 		return
 	}
-	if err := f.checkQuarantine(r); err != nil {
+	if err := f.admitTrial(r); err != nil {
 		t.refuse(sink, refusalOf(err))
 		return
 	}
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -31,11 +31,10 @@
 		return nil
 	}
 	parts := r.quarantineParts()
-	find := f.Quarantine.FindIn
+	p, left, found := f.Quarantine.FindIn(parts, r.trial)
 	if r.brokenOff {
-		find = f.Quarantine.FindInRepeat
+		p, left, found = f.Quarantine.FindInRepeat(parts)
 	}
-	p, left, found := find(parts)
 	if !found {
 		return nil
 	}
@@ -48,6 +47,26 @@
 	return refusal
 }
 
+// admitTrial checks an arriving request like checkQuarantine. If it would be refused and a trial of the part
+// was granted to this host, the request is the trial.
+func (f *Forwarder) admitTrial(r *Request) error {
+	err := f.checkQuarantine(r)
+	if err == nil {
+		return nil
+	}
+	p, _, found := f.Quarantine.FindIn(r.quarantineParts(), 0)
+	if !found {
+		return nil // the quarantine has just ended
+	}
+	f.Quarantine.RecordRefusal(p.Key)
+	if !f.Quarantine.TakeTrial(p.Key) {
+		return err
+	}
+	r.trial = p.Key
+	f.Log.Info().Str("id", r.ID).Str("part", p.ID).Msg("request sent as the trial of a quarantined part")
+	return f.checkQuarantine(r)
+}
+
 // isQuarantined reports whether err is a refusal of a quarantined request, or for a part of its prompt,
 // also one by a host of another region.
 func isQuarantined(err error) bool {
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -172,6 +172,44 @@
 	}
 }
 
+// TestTrial guards against a quarantine that nothing can end before its time, and against more than one
+// request for one trial: a second one, or a repeat at another upstream.
+func TestTrial(t *testing.T) {
+	quarantine := &schema.QuarantinedPart{Part: quarantiner.PartKey("bad"), Number: 1, Left: 60}
+	grant := &schema.Findings{Quarantined: []*schema.QuarantinedPart{quarantine}, Trials: []uint64{quarantine.Part}}
+	refused := result{Status: 503, Cause: causePartQuarantined}
+	for _, c := range []struct {
+		name string
+		step scriptStep
+		want []result
+		sent int
+	}{
+		{"answered", text(200, events), []result{{Status: 200, Body: events, Finished: true}, refused}, 1},
+		{"the upstream ends", truncate(""), []result{{Status: 502, Cause: causePartQuarantined}, refused}, 1},
+	} {
+		s := newSystem(t, []scriptStep{c.step}, []scriptStep{c.step})
+		s.Quarantine = &quarantiner.Register{Now: s.Timer.Now}
+		s.Observer = &quarantiner.Observer{Timer: s.Timer, Log: zerolog.Nop(), Refused: func(context.Context, string) bool { return false },
+			State: func(quarantiner.Upstream) quarantiner.State { return quarantiner.Running }}
+		link := &quarantiner.Link{Source: s.Observer, Register: s.Quarantine}
+		link.Apply(grant, 1)
+		var got []result
+		for range c.want {
+			r, _ := s.callWithParts("/resume/x", "base", "bad", "own")
+			got = append(got, r)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+		if n := len(s.allArrivals()); n != c.sent {
+			t.Errorf("%s: %d upstreams got a request, want %d", c.name, n, c.sent)
+		}
+		if diff := cmp.Diff([]uint64{quarantine.Part}, link.Request(1).Refused); diff != "" {
+			t.Errorf("%s: refused parts in the next report: -want +got\n%s", c.name, diff)
+		}
+	}
+}
+
 // TestLostAnswersAreObserved guards against ends of upstreams that nothing relates to the requests
 // there: with a length, in chunks, and ended by the connection.
 func TestLostAnswersAreObserved(t *testing.T) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -54,6 +54,7 @@
 	keyedParts    []quarantiner.Part // set by quarantineParts
 	contentHash   uint64             // set by contentKey
 	brokenOff     bool               // an upstream may have ended under it
+	trial         uint64             // quarantined part of which it is a trial; 0: none
 	mayHaveRun    bool
 	software      *string           // version of the software that began the stream; nil before its first event
 	resumeRegions []string          // that have upstreams of that version; nil: not known
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -12,6 +12,9 @@
 // request that no upstream is known to have survived needs a shorter interval: many requests share a
 // part of a prompt, but hardly one that was never answered is at three upstreams when they end.
 //
+// Requests that are refused cannot show that a quarantine is a mistake. So the leader grants a few trials of
+// each quarantined part, one request at one host, which ends the quarantine if an upstream survives it.
+//
 // The decisions stand in a Register on each host. Registers are merged in both directions, so a
 // decision survives the loss of the leader and restarts. Everything is bounded in size and time.
 //
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -196,8 +196,9 @@
 	Part uint64
 	// Beside are the parts that prompts must also have to be refused, sorted.
 	Beside []uint64
-	// Released is set if the quarantine was ended before its time, else the part was quarantined.
-	Released bool
+	// Released is set if the quarantine was ended before its time, Trial if one request with the part may be
+	// sent; else the part was quarantined.
+	Released, Trial bool
 	// Ends is the number of upstreams that ended under the part.
 	Ends int
 	// Survived is the time since an upstream is known to have survived the part; 0 if none is.
@@ -214,15 +215,18 @@
 	if e.revision != e.decided {
 		e.decided, e.changedAt = e.revision, now
 	}
+	var decisions []Decision
+	for _, part := range g.grantTrials() {
+		decisions = append(decisions, Decision{Part: part, Beside: g.Beside(part), Trial: true})
+	}
 	if now-e.changedAt > decideTime {
 		if len(e.ends) == 0 {
 			e.suspects = nil
 		}
-		e.suspects = addSuspects(ambiguous(g), e.suspects)
-		return nil
+		e.suspects = addSuspects(slices.Concat(g.onTrial(), ambiguous(g)), e.suspects)
+		return decisions
 	}
 	accused := e.accused()
-	var decisions []Decision
 	decide := func(part uint64, release bool, beside []uint64) {
 		g.decide(part, release, beside...)
 		d := Decision{Part: part, Beside: beside, Released: release, Ends: len(accused[part])}
@@ -264,7 +268,7 @@
 		}
 	}
 	e.chooseSuspects(accused, g)
-	e.suspects = addSuspects(ambiguous(g), e.suspects)
+	e.suspects = addSuspects(slices.Concat(g.onTrial(), ambiguous(g)), e.suspects)
 	return decisions
 }
 
@@ -460,6 +464,12 @@
 	ends = e.Store(request)
 	changed = g.Merge(request.GetQuarantined())
 	reply = &schema.Findings{Suspects: e.Suspects(), Hash: g.Hash()}
+	for _, part := range request.GetRefused() {
+		g.RecordRefusal(part)
+		if g.TakeTrial(part) {
+			reply.Trials = append(reply.Trials, part)
+		}
+	}
 	if reply.Hash != request.GetHash() {
 		reply.Quarantined = g.List()
 	}
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -127,7 +127,7 @@
 // sendParts sends a request like send.
 func (f *fleet) sendParts(crashes bool, all ...Part) bool {
 	e := f.entries[f.random.IntN(len(f.entries))]
-	if _, _, found := e.register.FindIn(all); found {
+	if e.refuses(all) {
 		return false
 	}
 	if !crashes {
@@ -138,6 +138,20 @@
 	return true
 }
 
+// refuses reports whether an entry host refuses a request.
+func (e *testEntry) refuses(parts []Part) bool {
+	p, _, found := e.register.FindIn(parts, 0)
+	if !found {
+		return false
+	}
+	e.register.RecordRefusal(p.Key)
+	if !e.register.TakeTrial(p.Key) {
+		return true
+	}
+	_, _, found = e.register.FindIn(parts, p.Key)
+	return found
+}
+
 // crash lets an upstream end under a request of an entry host.
 func (f *fleet) crash(e *testEntry, all []Part) {
 	f.upstreams++
@@ -154,7 +168,7 @@
 		all = append(all, Part{ID: id, Key: PartKey(id)})
 	}
 	e := f.entries[f.random.IntN(len(f.entries))]
-	if _, _, found := e.register.FindIn(all); found {
+	if e.refuses(all) {
 		return 0
 	}
 	f.crash(e, all)
--- a/internal/quarantiner/link.go
+++ b/internal/quarantiner/link.go
@@ -34,6 +34,7 @@
 	f, present := l.Source.Since(revision)
 	l.sent.process, l.sent.revision, l.sent.complete = process, present, revision == 0
 	f.Hash = l.Register.Hash()
+	f.Refused = l.Register.Refused()
 	if f.Hash != l.peerHash {
 		f.Quarantined = l.Register.List()
 	}
@@ -50,5 +51,9 @@
 	}
 	l.peerHash = reply.GetHash()
 	l.Source.SetSuspects(reply.GetSuspects())
-	return l.Register.Merge(reply.GetQuarantined())
+	changed := l.Register.Merge(reply.GetQuarantined())
+	for _, part := range reply.GetTrials() {
+		l.Register.offerTrial(part)
+	}
+	return changed
 }
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -22,11 +22,20 @@
 	// Time after the end of a quarantine for which the part is remembered: a single end then
 	// suffices to quarantine it again.
 	probationTime = 24 * time.Hour
+	// Time for which a host that refused a request for a part may be granted a trial, and time for which the
+	// trial may be used.
+	refusalTime = 3 * time.Second
+	trialTime   = 30 * time.Second
 	// Maximum number of entries, those on probation included, and of the parts beside one.
 	maxEntries = 512
 	maxBeside  = 64
 )
 
+// trialDelays are the times after the beginning of a quarantine from which one request with the part is sent
+// to an upstream each. If no upstream ends, the quarantine was a mistake, or what crashed was mended. Each
+// trial of a part that does crash upstreams costs one.
+var trialDelays = [...]time.Duration{10 * time.Second, 10 * time.Minute}
+
 // Register holds the decisions about parts. Set Now before use. It is safe for concurrent use.
 type Register struct {
 	// Now returns the time on a clock that also runs while the host is suspended.
@@ -34,7 +43,9 @@
 
 	active  atomic.Int64 // number of entries; keeps Find cheap while there are none
 	mu      sync.Mutex
-	entries map[uint64]entry // by part; guarded by mu
+	entries map[uint64]entry         // by part; guarded by mu
+	refused map[uint64]time.Duration // time of the last refusal, by part; guarded by mu
+	trials  map[uint64]time.Duration // end of the time for which a trial may be used, by part; guarded by mu
 }
 
 // entry is the last decision about a part.
@@ -45,10 +56,17 @@
 	beside    []uint64
 	decidedAt time.Duration // when this host made the decision or received it
 	until     time.Duration // end of the quarantine
+	trials    uint32        // that were granted
+	triedAt   time.Duration // when this host granted the last one or received that it was
 }
 
 func (x entry) quarantined(now time.Duration) bool { return !x.released && now < x.until }
 
+// trialDue reports whether a trial is to be granted.
+func (x entry) trialDue(now time.Duration) bool {
+	return x.quarantined(now) && int(x.trials) < len(trialDelays) && now-(x.until-QuarantineTime) >= trialDelays[x.trials]
+}
+
 // Find reports whether a part is quarantined, alone or beside others, and returns the time until its
 // quarantine ends.
 func (g *Register) Find(part uint64) (left time.Duration, found bool) {
@@ -61,14 +79,14 @@
 }
 
 // FindIn returns the first of a request's parts for which the request is refused, and the time until that
-// part's quarantine ends.
-func (g *Register) FindIn(parts []Part) (part Part, left time.Duration, found bool) {
+// part's quarantine ends. trial is the part of which the request is a trial; 0: none.
+func (g *Register) FindIn(parts []Part, trial uint64) (part Part, left time.Duration, found bool) {
 	if g.active.Load() == 0 {
 		return Part{}, 0, false
 	}
 	now := g.Now()
 	for _, p := range parts {
-		if x, known := g.lookup(p.Key); known && x.quarantined(now) && containsAll(parts, x.beside) {
+		if x, known := g.lookup(p.Key); known && p.Key != trial && x.quarantined(now) && containsAll(parts, x.beside) {
 			return p, x.until - now, true
 		}
 	}
@@ -79,7 +97,7 @@
 // several parts of which it is open which one crashes upstreams: a repeat would cost another upstream before
 // the evidence of the first one has arrived.
 func (g *Register) FindInRepeat(parts []Part) (part Part, left time.Duration, found bool) {
-	if part, left, found = g.FindIn(parts); found || g.active.Load() == 0 {
+	if part, left, found = g.FindIn(parts, 0); found || g.active.Load() == 0 {
 		return part, left, found
 	}
 	now := g.Now()
@@ -97,6 +115,96 @@
 	return Part{}, 0, false
 }
 
+// RecordRefusal records that a request was refused for a part, here or at a host that reports to this one.
+func (g *Register) RecordRefusal(part uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if x, known := g.entries[part]; !known || !x.quarantined(g.Now()) {
+		return
+	}
+	if g.refused == nil {
+		g.refused = map[uint64]time.Duration{}
+	}
+	g.refused[part] = g.Now()
+}
+
+// Refused returns the parts for which requests were refused lately, sorted.
+func (g *Register) Refused() []uint64 {
+	if g.active.Load() == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	maps.DeleteFunc(g.refused, func(_ uint64, at time.Duration) bool { return now-at > refusalTime })
+	return slices.Sorted(maps.Keys(g.refused))
+}
+
+// offerTrial lets one request with a part be sent, by this host or one that reports to it.
+func (g *Register) offerTrial(part uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.trials == nil {
+		g.trials = map[uint64]time.Duration{}
+	}
+	now := g.Now()
+	maps.DeleteFunc(g.trials, func(_ uint64, until time.Duration) bool { return now > until })
+	if len(g.trials) < maxEntries {
+		g.trials[part] = now + trialTime
+	}
+}
+
+// TakeTrial reports whether one request with a part may be sent although the part is quarantined.
+func (g *Register) TakeTrial(part uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until, offered := g.trials[part]
+	delete(g.trials, part)
+	return offered && g.Now() <= until
+}
+
+// grantTrials offers the trials that are due of parts for which requests are refused, and returns the parts.
+// Only the leader calls it.
+func (g *Register) grantTrials() []uint64 {
+	var granted []uint64
+	for _, part := range g.Refused() {
+		if g.countTrial(part) {
+			g.offerTrial(part)
+			granted = append(granted, part)
+		}
+	}
+	return granted
+}
+
+// countTrial reports whether a trial of a part is due, and counts it if so.
+func (g *Register) countTrial(part uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	x, known := g.entries[part]
+	if !known || !x.trialDue(now) {
+		return false
+	}
+	x.trials, x.triedAt = x.trials+1, now
+	g.entries[part] = x
+	return true
+}
+
+// onTrial returns the quarantined parts of which a trial may be under way.
+func (g *Register) onTrial() []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	var all []uint64
+	for part, x := range g.entries {
+		if x.quarantined(now) && x.trials > 0 && now-x.triedAt < 2*trialTime {
+			all = append(all, part)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 func containsAll(parts []Part, keys []uint64) bool {
 	for _, k := range keys {
 		if !slices.ContainsFunc(parts, func(p Part) bool { return p.Key == k }) {
@@ -141,7 +249,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	x := entry{number: g.entries[part].number + 1, released: release, beside: beside, decidedAt: now, until: now + QuarantineTime}
+	old := g.entries[part]
+	x := entry{number: old.number + 1, released: release, beside: beside, decidedAt: now, until: now + QuarantineTime}
+	if old.quarantined(now) {
+		x.trials, x.triedAt = old.trials, old.triedAt
+	}
 	if release {
 		x.until = now
 	}
@@ -175,10 +287,17 @@
 		until := now + timer.Seconds(min(m.Left, QuarantineTime.Seconds()))
 		old, known := g.entries[m.Part]
 		beside := slices.Sorted(slices.Values(m.Beside[:min(len(m.Beside), maxBeside)]))
+		if known && m.Number == old.number && m.Trials > old.trials {
+			old.trials, old.triedAt = m.Trials, now
+			g.entries[m.Part] = old
+		}
 		if now-until > probationTime || known && !supersedes(m, old, beside) {
 			continue
 		}
-		x := entry{number: m.Number, released: m.Released, beside: beside, decidedAt: now, until: until}
+		x := entry{number: m.Number, released: m.Released, beside: beside, decidedAt: now, until: until, trials: m.Trials, triedAt: now}
+		if known && m.Number == old.number {
+			x.trials, x.triedAt = old.trials, old.triedAt
+		}
 		g.store(m.Part, x)
 		if x.quarantined(now) != old.quarantined(now) || !slices.Equal(beside, old.beside) {
 			changed = append(changed, m.Part)
@@ -204,7 +323,7 @@
 	var list []*schema.QuarantinedPart
 	for _, part := range g.sortedParts(now) {
 		x := g.entries[part]
-		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds(), Beside: x.beside})
+		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds(), Beside: x.beside, Trials: x.trials})
 	}
 	return list
 }
@@ -223,6 +342,9 @@
 		for _, other := range g.entries[part].beside {
 			b = binary.LittleEndian.AppendUint64(b, other)
 		}
+		if n := g.entries[part].trials; n > 0 {
+			b = binary.LittleEndian.AppendUint32(b, n)
+		}
 	}
 	if len(b) == 0 {
 		return 0
--- a/internal/quarantiner/shared_test.go
+++ b/internal/quarantiner/shared_test.go
@@ -23,7 +23,7 @@
 		for _, k := range keys {
 			parts = append(parts, Part{Key: k})
 		}
-		if _, _, found := g.FindIn(parts); found {
+		if _, _, found := g.FindIn(parts, 0); found {
 			names = append(names, name)
 		}
 	}
@@ -128,6 +128,10 @@
 	if a, b := newRegister(beside), newRegister(older); a.Hash() == b.Hash() {
 		t.Error("registers that differ by the parts beside have the same hash, so neither is sent")
 	}
+	tried := newRegister(&schema.QuarantinedPart{Part: 7, Number: 2, Left: 60, Trials: 1}, older)
+	if got := tried.List()[0].Trials; got != 1 {
+		t.Errorf("%d trials after the same decision came through a host of an earlier version, want 1", got)
+	}
 	part := &schema.QuarantinedPart{Part: 7, Number: 2, Left: 60}
 	if got, want := newRegister(part).Hash(), uint64(0x3c589df1bea4ce5a); got != want {
 		t.Errorf("hash of a part alone is %#x, want %#x as in earlier versions", got, want)
