Doubt what a leader of an earlier version chose by chance

Cause: the leader decides alone, and one of an earlier version takes neither the survivals before the ends nor parts with the same ends into account. What entry hosts know of both did not matter.

Change: decisions say whether they were weighed; those of earlier versions do not. An entry host doubts one that is not, if upstreams survived the part at this host before and ended here under other parts, which none is known to have survived: it refuses only prompts that have one of those too, and reports survivals of the part, which also an earlier leader goes by. An end under none of those ends the doubt. Other hosts are not told.

--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -15,6 +15,10 @@
 // Requests that are refused cannot show that a quarantine is a mistake. So the leader grants a few trials of
 // each quarantined part, one request at one host, which ends the quarantine if an upstream survives it.
 //
+// A leader of an earlier version chooses by chance between parts with the same ends. An entry host at
+// which upstreams survived the quarantined one before refuses only requests that also have a part which explains the ends
+// that this host observed, and reports what upstreams survive.
+//
 // The decisions stand in a Register on each host. Registers are merged in both directions, so a
 // decision survives the loss of the leader and restarts. Everything is bounded in size and time.
 //
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -191,6 +191,9 @@
 	e.suspects = parts
 }
 
+// doubt returns no reason for doubt: a control host refuses no requests.
+func (e *Evidence) doubt(uint64, []uint64) ([]uint64, bool) { return nil, false }
+
 // Decision is a change of a part's quarantine.
 type Decision struct {
 	Part uint64
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -30,6 +30,7 @@
 	process  uint64
 	link     *Link
 	leader   uint64 // process of the leader that replied last
+	older    bool
 }
 
 // testEntry is an entry host of a fleet.
@@ -39,6 +40,7 @@
 	link     *Link
 	control  int
 	process  uint64 // of the control host that replied last
+	older    bool
 }
 
 // fleet is a system of hosts that exchange findings without a network. Every message takes no time.
@@ -79,18 +81,28 @@
 
 func (f *fleet) refresh(e *testEntry) {
 	c := f.controls[e.control]
-	reply, _, _ := Reply(e.link.Request(e.process), c.evidence, c.register)
-	e.link.Apply(reply, c.process)
+	e.link.Apply(exchange(e.link.Request(e.process), c, e.older || c.older), c.process)
 	e.process = c.process
 }
 
+// exchange returns the reply of a control host, where one of both hosts is of an earlier version if asked.
+func exchange(request *schema.Findings, c *testControl, throughOlder bool) *schema.Findings {
+	if throughOlder {
+		request = older(request)
+	}
+	reply, _, _ := Reply(request, c.evidence, c.register)
+	if throughOlder {
+		reply = older(reply)
+	}
+	return reply
+}
+
 func (f *fleet) consult(i int) {
 	c, leader := f.controls[i], f.controls[f.leader]
 	if c == leader {
 		return
 	}
-	reply, _, _ := Reply(c.link.Request(c.leader), leader.evidence, leader.register)
-	c.link.Apply(reply, leader.process)
+	c.link.Apply(exchange(c.link.Request(c.leader), leader, c.older || leader.older), leader.process)
 	c.leader = leader.process
 }
 
@@ -110,6 +122,10 @@
 	}
 	if n%4 == 0 {
 		c := f.controls[f.leader]
+		if c.older {
+			olderDecide(c.evidence, c.register)
+			return
+		}
 		c.evidence.Decide(c.register)
 	}
 }
--- a/internal/quarantiner/link.go
+++ b/internal/quarantiner/link.go
@@ -8,6 +8,10 @@
 	Since(revision uint64) (*schema.Findings, uint64)
 	// SetSuspects replaces the parts whose survivals are reported.
 	SetSuspects(parts []uint64)
+	// doubt returns the parts that explain the ends under a part as well, if the part is known to have been
+	// survived, and whether there is reason for doubt or, with no parts, reason to end it. before are the
+	// parts that it returned before.
+	doubt(part uint64, before []uint64) (only []uint64, changed bool)
 }
 
 // Link reports findings to one host at a time, each once for each process of it, and merges its
@@ -42,7 +46,7 @@
 }
 
 // Apply applies the reply to the last request, from a process of the receiver. It returns the parts
-// whose quarantine changed.
+// whose quarantine changed or that this host now treats otherwise.
 func (l *Link) Apply(reply *schema.Findings, process uint64) []uint64 {
 	if process != l.sent.process && !l.sent.complete {
 		l.process, l.revision = process, 0
@@ -55,5 +59,11 @@
 	for _, part := range reply.GetTrials() {
 		l.Register.offerTrial(part)
 	}
+	for part, before := range l.Register.unweighed() {
+		if only, doubted := l.Source.doubt(part, before); doubted {
+			l.Register.doubt(part, only)
+			changed = append(changed, part)
+		}
+	}
 	return changed
 }
--- a/internal/quarantiner/observer.go
+++ b/internal/quarantiner/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,7 @@
 	recent   map[uint64]time.Duration // time of the last survival, by part; guarded by mu
 	previous map[uint64]time.Duration // the same before recent was full; guarded by mu
 	suspects []uint64                 // guarded by mu
+	doubted  map[uint64]time.Duration // when doubt began, by part; guarded by mu
 }
 
 // loss is an upstream on which answers broke off when they had just begun, or before.
@@ -277,19 +279,65 @@
 			})
 		}
 	}
+	maps.DeleteFunc(o.doubted, func(_ uint64, at time.Duration) bool { return now-at > QuarantineTime })
+	asked = slices.AppendSeq(asked, maps.Keys(o.doubted))
 	slices.Sort(asked)
 	for _, part := range slices.Compact(asked) {
-		at, ok := o.recent[part]
-		if !ok {
-			at, ok = o.previous[part]
-		}
-		if ok && now-at < survivalMemory {
+		if at, ok := o.survivedAt(part); ok && now-at < survivalMemory {
 			f.Survivals = append(f.Survivals, &schema.Survival{Part: part, Age: (now - at).Seconds()})
 		}
 	}
 	return f, o.revision
 }
 
+// survivedAt returns the time of the last survival of a part. The caller holds mu.
+func (o *Observer) survivedAt(part uint64) (time.Duration, bool) {
+	at, ok := o.recent[part]
+	if !ok {
+		at, ok = o.previous[part]
+	}
+	return at, ok
+}
+
+// doubt returns the parts of prompts that no upstream is known to have survived and that were beside a part,
+// which one did survive, when upstreams ended here. An end under none of those that were returned before shows
+// that the part is at fault after all. From then on survivals of the part are reported.
+func (o *Observer) doubt(part uint64, before []uint64) (only []uint64, changed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, survived := o.survivedAt(part); !survived || isRequest(part) {
+		return nil, false
+	}
+	only = slices.Clone(before)
+	for _, x := range o.ends {
+		if !slices.Contains(x.parts, part) {
+			continue
+		}
+		var beside []uint64
+		for _, p := range x.parts {
+			if _, survived := o.survivedAt(p); p != part && !survived && !isRequest(p) {
+				beside = append(beside, p)
+			}
+		}
+		if len(beside) == 0 || len(before) > 0 && !slices.ContainsFunc(beside, func(p uint64) bool { return slices.Contains(before, p) }) {
+			return nil, true
+		}
+		for _, p := range beside {
+			if !slices.Contains(only, p) && len(only) < maxBeside {
+				only = append(only, p)
+			}
+		}
+	}
+	if len(only) == len(before) {
+		return nil, false
+	}
+	if o.doubted == nil {
+		o.doubted = map[uint64]time.Duration{}
+	}
+	o.doubted[part] = o.Timer.Now()
+	return only, true
+}
+
 // SetSuspects replaces the parts whose survivals Since returns.
 func (o *Observer) SetSuspects(parts []uint64) {
 	o.mu.Lock()
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -58,10 +58,21 @@
 	until     time.Duration // end of the quarantine
 	trials    uint32        // that were granted
 	triedAt   time.Duration // when this host granted the last one or received that it was
+	weighed   bool          // whoever decided took account of other parts with the same ends
+
+	// doubted is set once this host found reason to doubt a decision that was not weighed. While only is not
+	// empty, just the prompts are refused that have one of these parts too. Other hosts are not told.
+	doubted bool
+	only    []uint64
 }
 
 func (x entry) quarantined(now time.Duration) bool { return !x.released && now < x.until }
 
+// appliesTo reports whether requests with parts, the entry's one among them, are refused.
+func (x entry) appliesTo(parts []Part) bool {
+	return containsAll(parts, x.beside) && (len(x.only) == 0 || containsAny(parts, x.only))
+}
+
 // trialDue reports whether a trial is to be granted.
 func (x entry) trialDue(now time.Duration) bool {
 	return x.quarantined(now) && int(x.trials) < len(trialDelays) && now-(x.until-QuarantineTime) >= trialDelays[x.trials]
@@ -86,7 +97,7 @@
 	}
 	now := g.Now()
 	for _, p := range parts {
-		if x, known := g.lookup(p.Key); known && p.Key != trial && x.quarantined(now) && containsAll(parts, x.beside) {
+		if x, known := g.lookup(p.Key); known && p.Key != trial && x.quarantined(now) && x.appliesTo(parts) {
 			return p, x.until - now, true
 		}
 	}
@@ -104,7 +115,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for key, x := range g.entries {
-		if len(x.beside) == 0 || !x.quarantined(now) {
+		if len(x.beside) == 0 && len(x.only) == 0 || !x.quarantined(now) {
 			continue
 		}
 		i := slices.IndexFunc(parts, func(p Part) bool { return p.Key == key || slices.Contains(x.beside, p.Key) })
@@ -214,6 +225,39 @@
 	return true
 }
 
+func containsAny(parts []Part, keys []uint64) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return slices.Contains(keys, p.Key) })
+}
+
+// unweighed returns the parts quarantined alone by a decision that did not take account of others with the
+// same ends, with what this host refuses them for; nil: alone.
+func (g *Register) unweighed() map[uint64][]uint64 {
+	if g.active.Load() == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	all := map[uint64][]uint64{}
+	for part, x := range g.entries {
+		if x.quarantined(now) && !x.weighed && len(x.beside) == 0 && (!x.doubted || len(x.only) > 0) {
+			all[part] = x.only
+		}
+	}
+	return all
+}
+
+// doubt lets this host refuse only prompts that have a part and one of others; none: all with the part, for
+// as long as the decision holds.
+func (g *Register) doubt(part uint64, only []uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if x, known := g.entries[part]; known {
+		x.doubted, x.only = true, only
+		g.entries[part] = x
+	}
+}
+
 // Beside returns the parts that prompts must also have to be refused for a quarantined part, sorted.
 func (g *Register) Beside(part uint64) []uint64 {
 	x, _ := g.lookup(part)
@@ -250,7 +294,7 @@
 	defer g.mu.Unlock()
 	now := g.Now()
 	old := g.entries[part]
-	x := entry{number: old.number + 1, released: release, beside: beside, decidedAt: now, until: now + QuarantineTime}
+	x := entry{number: old.number + 1, released: release, beside: beside, decidedAt: now, until: now + QuarantineTime, weighed: true}
 	if old.quarantined(now) {
 		x.trials, x.triedAt = old.trials, old.triedAt
 	}
@@ -275,6 +319,13 @@
 	g.active.Store(int64(len(g.entries)))
 }
 
+// Only returns the parts of which prompts must have one to be refused here for a quarantined part that this
+// host doubts; nil: it does not.
+func (g *Register) Only(part uint64) []uint64 {
+	x, _ := g.lookup(part)
+	return x.only
+}
+
 // Merge adds another host's entries and returns the parts whose quarantine this changed. Of two
 // decisions about a part the one with the higher number holds. A host of an earlier version passes a
 // decision on without the parts beside.
@@ -287,14 +338,17 @@
 		until := now + timer.Seconds(min(m.Left, QuarantineTime.Seconds()))
 		old, known := g.entries[m.Part]
 		beside := slices.Sorted(slices.Values(m.Beside[:min(len(m.Beside), maxBeside)]))
-		if known && m.Number == old.number && m.Trials > old.trials {
-			old.trials, old.triedAt = m.Trials, now
+		if known && m.Number == old.number {
+			if m.Trials > old.trials {
+				old.trials, old.triedAt = m.Trials, now
+			}
+			old.weighed = old.weighed || m.Weighed
 			g.entries[m.Part] = old
 		}
 		if now-until > probationTime || known && !supersedes(m, old, beside) {
 			continue
 		}
-		x := entry{number: m.Number, released: m.Released, beside: beside, decidedAt: now, until: until, trials: m.Trials, triedAt: now}
+		x := entry{number: m.Number, released: m.Released, beside: beside, decidedAt: now, until: until, trials: m.Trials, triedAt: now, weighed: m.Weighed}
 		if known && m.Number == old.number {
 			x.trials, x.triedAt = old.trials, old.triedAt
 		}
@@ -323,7 +377,7 @@
 	var list []*schema.QuarantinedPart
 	for _, part := range g.sortedParts(now) {
 		x := g.entries[part]
-		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds(), Beside: x.beside, Trials: x.trials})
+		list = append(list, &schema.QuarantinedPart{Part: part, Number: x.number, Released: x.released, Left: (x.until - now).Seconds(), Beside: x.beside, Trials: x.trials, Weighed: x.weighed})
 	}
 	return list
 }
--- a/internal/refresher/refresher.go
+++ b/internal/refresher/refresher.go
@@ -321,7 +321,7 @@
 		for _, part := range r.Findings.Apply(reply.Findings, reply.Process) {
 			left, quarantined := r.Findings.Register.Find(part)
 			r.Log.Info().Hex("part", quarantiner.AppendKey(nil, part)).Strs("beside", quarantiner.KeyNames(r.Findings.Register.Beside(part))).
-				Bool("quarantined", quarantined).Dur("left", left).Str("control", r.controlAddress).Msg("quarantine learned")
+				Strs("only", quarantiner.KeyNames(r.Findings.Register.Only(part))).Bool("quarantined", quarantined).Dur("left", left).Str("control", r.controlAddress).Msg("quarantine learned")
 		}
 	}
 	r.cursor, r.cursorProcess = reply.Cursor, reply.Process
