Tell callers to return when a trial of the quarantined part is over

Callers of a part that was quarantined by mistake were told to return in an hour, also if a trial ended the quarantine after 12 s.

Cause: the time to return was the rest of the quarantine, from when that was its only end.

Change: it is the time until the next trial and 5 s more, when its outcome is known; the rest of the quarantine if no trial is left, or if nobody grants the one that is due, as leaders of earlier versions do not.

Evidence: TestRetryAfterOfQuarantine; before, four of its seven cases gave the rest of the hour.

--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -31,9 +31,9 @@
 		return nil
 	}
 	parts := r.quarantineParts()
-	p, left, found := f.Quarantine.FindIn(parts, r.trial)
+	p, retryAfter, found := f.Quarantine.FindIn(parts, r.trial)
 	if r.brokenOff {
-		p, left, found = f.Quarantine.FindInRepeat(parts)
+		p, retryAfter, found = f.Quarantine.FindInRepeat(parts)
 	}
 	if !found {
 		return nil
@@ -42,7 +42,7 @@
 	if p.Key == parts[0].Key {
 		cause = causeRequestQuarantined
 	}
-	refusal := refuse(http.StatusServiceUnavailable, cause, left)
+	refusal := refuse(http.StatusServiceUnavailable, cause, retryAfter)
 	refusal.Part = p.ID
 	return refusal
 }
--- a/internal/quarantiner/register.go
+++ b/internal/quarantiner/register.go
@@ -26,6 +26,9 @@
 	// trial may be used.
 	refusalTime = 3 * time.Second
 	trialTime   = 30 * time.Second
+	// Time from a trial until hosts know its outcome: the survival, and two reports each of the entry and the
+	// control host, with a margin.
+	outcomeTime = 5 * time.Second
 	// Maximum number of entries, those on probation included, and of the parts beside one.
 	maxEntries = 512
 	maxBeside  = 64
@@ -78,6 +81,23 @@
 	return x.quarantined(now) && int(x.trials) < len(trialDelays) && now-(x.until-QuarantineTime) >= trialDelays[x.trials]
 }
 
+// retryAfter returns the time after which a refused caller should return: when the outcome of the next trial
+// is known, or at the end of the quarantine.
+func (x entry) retryAfter(now time.Duration) time.Duration {
+	left := x.until - now
+	if x.trials > 0 && now-x.triedAt < trialTime {
+		return min(left, outcomeTime)
+	}
+	if !x.weighed || int(x.trials) >= len(trialDelays) {
+		return left
+	}
+	due := x.until - QuarantineTime + trialDelays[x.trials] - now
+	if due < -trialTime {
+		return left // nobody grants it
+	}
+	return min(left, max(0, due)+outcomeTime)
+}
+
 // Find reports whether a part is quarantined, alone or beside others, and returns the time until its
 // quarantine ends.
 func (g *Register) Find(part uint64) (left time.Duration, found bool) {
@@ -89,16 +109,16 @@
 	return x.until - now, known && x.quarantined(now)
 }
 
-// FindIn returns the first of a request's parts for which the request is refused, and the time until that
-// part's quarantine ends. trial is the part of which the request is a trial; 0: none.
-func (g *Register) FindIn(parts []Part, trial uint64) (part Part, left time.Duration, found bool) {
+// FindIn returns the first of a request's parts for which the request is refused, and the time after which
+// the caller should return. trial is the part of which the request is a trial; 0: none.
+func (g *Register) FindIn(parts []Part, trial uint64) (part Part, retryAfter time.Duration, found bool) {
 	if g.active.Load() == 0 {
 		return Part{}, 0, false
 	}
 	now := g.Now()
 	for _, p := range parts {
 		if x, known := g.lookup(p.Key); known && p.Key != trial && x.quarantined(now) && x.appliesTo(parts) {
-			return p, x.until - now, true
+			return p, x.retryAfter(now), true
 		}
 	}
 	return Part{}, 0, false
@@ -107,9 +127,9 @@
 // FindInRepeat is FindIn for a request under which an upstream may have ended. It is also refused for any of
 // several parts of which it is open which one crashes upstreams: a repeat would cost another upstream before
 // the evidence of the first one has arrived.
-func (g *Register) FindInRepeat(parts []Part) (part Part, left time.Duration, found bool) {
-	if part, left, found = g.FindIn(parts, 0); found || g.active.Load() == 0 {
-		return part, left, found
+func (g *Register) FindInRepeat(parts []Part) (part Part, retryAfter time.Duration, found bool) {
+	if part, retryAfter, found = g.FindIn(parts, 0); found || g.active.Load() == 0 {
+		return part, retryAfter, found
 	}
 	now := g.Now()
 	g.mu.Lock()
@@ -120,7 +140,7 @@
 		}
 		i := slices.IndexFunc(parts, func(p Part) bool { return p.Key == key || slices.Contains(x.beside, p.Key) })
 		if i >= 0 {
-			return parts[i], x.until - now, true
+			return parts[i], x.retryAfter(now), true
 		}
 	}
 	return Part{}, 0, false
--- a/internal/quarantiner/trial_test.go
+++ b/internal/quarantiner/trial_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	gocmp "github.com/google/go-cmp/cmp"
+
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
 
@@ -73,3 +75,33 @@
 		t.Error("a trial is not for just one request")
 	}
 }
+
+// TestRetryAfterOfQuarantine guards against callers that are told to stay away for an hour although a trial may end the
+// quarantine in a few seconds, and against callers that return for trials that nobody grants.
+func TestRetryAfterOfQuarantine(t *testing.T) {
+	const left = QuarantineTime
+	for _, c := range []struct {
+		name string
+		part *schema.QuarantinedPart
+		age  time.Duration
+		want time.Duration
+	}{
+		{"before the first trial", &schema.QuarantinedPart{Weighed: true}, 4 * time.Second, 6*time.Second + outcomeTime},
+		{"the first trial is due", &schema.QuarantinedPart{Weighed: true}, 12 * time.Second, outcomeTime},
+		{"the first trial is under way", &schema.QuarantinedPart{Weighed: true, Trials: 1}, 0, outcomeTime},
+		{"after the first trial", &schema.QuarantinedPart{Weighed: true, Trials: 1}, time.Minute, 9*time.Minute + outcomeTime},
+		{"after the last trial", &schema.QuarantinedPart{Weighed: true, Trials: 2}, 20 * time.Minute, left - 20*time.Minute},
+		{"nobody grants trials", &schema.QuarantinedPart{Weighed: true}, time.Minute, left - time.Minute},
+		{"decided by a host of an earlier version", &schema.QuarantinedPart{}, 4 * time.Second, left - 4*time.Second},
+	} {
+		f := newFleet(1, 1, 1)
+		g := f.entries[0].register
+		c.part.Part, c.part.Number, c.part.Left = 7, 1, left.Seconds()
+		g.Merge([]*schema.QuarantinedPart{c.part})
+		f.clock.Advance(c.age)
+		_, got, _ := g.FindIn([]Part{{Key: 7}}, 0)
+		if diff := gocmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: -want +got\n%s", c.name, diff)
+		}
+	}
+}
