Keep the part that is quarantined if another has as many ends

Callers: none saw this; read in the change of parts with the same ends. A part that crashes upstreams would be released, and cost more of them, as soon as another part had as many ends and came later in prompts.

Evidence: a case in TestDecisions, which failed before (8 in place of 7).

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -350,7 +350,7 @@
 			if !e.sufficient(ends, g, part, now) {
 				continue
 			}
-			if score := e.score(part, ends); score > bestScore || score == bestScore && e.preferred(part, best) {
+			if score := e.score(part, ends); score > bestScore || score == bestScore && e.preferred(g, part, best, now) {
 				best, bestScore = part, score
 			}
 		}
@@ -398,12 +398,17 @@
 }
 
 // preferred reports whether of two parts with the same evidence a is to be quarantined: one that no
-// upstream is known to have survived, else a whole request, which fewer callers miss, else the part further
-// from the beginning of prompts, which sound ones are likelier to share. The caller holds mu.
-func (e *Evidence) preferred(a, b uint64) bool {
+// upstream is known to have survived, else one that is already, unless by chance, else a whole request, which
+// fewer callers miss, else the part further from the beginning of prompts, which sound ones are likelier to
+// share. The caller holds mu.
+func (e *Evidence) preferred(g *Register, a, b uint64, now time.Duration) bool {
 	if x, y := e.survivedBefore(a), e.survivedBefore(b); x != y {
 		return y
 	}
+	decided := func(part uint64) bool { x, _ := g.lookup(part); return x.quarantined(now) && x.weighed }
+	if x, y := decided(a), decided(b); x != y {
+		return x
+	}
 	if isRequest(a) != isRequest(b) {
 		return isRequest(a)
 	}
--- a/internal/quarantiner/evidence_test.go
+++ b/internal/quarantiner/evidence_test.go
@@ -107,6 +107,9 @@
 		{"sound parts that happened to be at some of the ends", slices.Concat(
 			series(times(0, 700*time.Millisecond, 12), 7), series(times(700*time.Millisecond, 1400*time.Millisecond, 3), 6, 7),
 		), 15 * s, []uint64{7}},
+		{"as many ends of another part, after a quarantine", slices.Concat(
+			series(times(0, 1100*ms, 1), 7), series(times(1100*ms, 1100*ms, 2), 7, 8), series(times(8*s, s, 1), 9, 8),
+		), 12 * s, []uint64{7}},
 		{"two parts that crash", slices.Concat(series(times(0, 1100*time.Millisecond, 5), 7), series(times(500*time.Millisecond, 1100*time.Millisecond, 4), 8)), 10 * s, []uint64{7, 8}},
 		{"slow series", series(times(0, 30*s, 3), 7), 70 * s, []uint64{7}},
 		{"ends that are too old", series(times(0, 70*s, 3), 7), 150 * s, nil},
