Mark decisions of earlier versions as weighed once the evidence confirms them

A part that is at fault and was survived before would be doubted again by each host that has an end under it, also after a new leader had found the same part.

Cause: a leader did not decide again on a part that was quarantined.

Change: it does if the decision was not weighed, by the present evidence.

Evidence: TestLeaderConfirms, which failed before.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -241,7 +241,7 @@
 	guilty := e.guilty(accused, g, now)
 	for _, x := range guilty {
 		old, _ := g.lookup(x.part)
-		if !old.quarantined(now) {
+		if !old.quarantined(now) || !old.weighed {
 			decide(x.part, false, x.beside)
 			continue
 		}
--- a/internal/quarantiner/shared_test.go
+++ b/internal/quarantiner/shared_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	gocmp "github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
@@ -153,6 +154,30 @@
 	if diff := gocmp.Diff([]string{"both"}, all.refused(g)); diff != "" {
 		t.Errorf("refused: -want +got\n%s", diff)
 	}
+	for i := range 2 {
+		e.Store(&schema.Findings{Ends: []*schema.UpstreamEnd{{Upstream: fmt.Sprint("v", i), Age: float64(8 - 2*i), Parts: []uint64{1}}}})
+	}
+	e.Decide(g)
+	if diff := gocmp.Diff([]string{"base", "both"}, all.refused(g)); diff != "" {
+		t.Errorf("after ends under one part only: refused: -want +got\n%s", diff)
+	}
+}
+
+// TestLeaderConfirms guards against hosts that doubt a decision of an earlier version although the evidence
+// of a later leader confirms it.
+func TestLeaderConfirms(t *testing.T) {
+	clock := &timer.Service{Clock: &timer.ManualClock{}}
+	clock.Advance(time.Hour)
+	e, g := &Evidence{Now: clock.Now}, &Register{Now: clock.Now}
+	g.Merge([]*schema.QuarantinedPart{{Part: 1, Number: 1, Left: 3600}})
+	for i := range 4 {
+		e.Store(&schema.Findings{Ends: []*schema.UpstreamEnd{{Upstream: fmt.Sprint("u", i), Age: float64(20 - 2*i), Parts: []uint64{1, uint64(10 + i)}}}})
+	}
+	e.Decide(g)
+	want := []*schema.QuarantinedPart{{Part: 1, Number: 2, Left: QuarantineTime.Seconds(), Weighed: true}}
+	if diff := gocmp.Diff(want, g.List(), protocmp.Transform()); diff != "" {
+		t.Errorf("-want +got\n%s", diff)
+	}
 }
 
 // TestSharedPartsGoOn guards against refusing all requests of a route after some with a part that crashes
