Do not exchange the same survivals again and again once there are too many

Cause: survivals are kept for an hour now, 1,024 at most, and a further one takes the place of the oldest. Hosts report the same ones with each report while a part is suspected, so one that had lost its place took another's at the next report: each time a change, which goes to the leader and makes it decide again.

Change: a survival that is not younger than the last one that had no room is not kept.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -56,6 +56,7 @@
 	changedAt time.Duration       // time of that call; guarded by mu
 	ends      map[endKey]*end     // guarded by mu
 	survivals map[uint64]survival // last survival, by part; guarded by mu
+	dropped   time.Duration       // time of the last survival that had no room: none as old is kept again; guarded by mu
 	suspects  []uint64            // sorted; guarded by mu
 }
 
@@ -136,13 +137,14 @@
 		e.survivals = map[uint64]survival{}
 	}
 	x, known := e.survivals[part]
-	if known && at < x.at+endInterval/2 {
+	if known && at < x.at+endInterval/2 || !known && at < e.dropped+endInterval/2 {
 		return
 	}
 	e.revision++
 	e.survivals[part] = survival{at: at, revision: e.revision}
 	if len(e.survivals) > maxSurvivals {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(e.survivals)), func(a, b uint64) int { return cmp.Compare(e.survivals[a].at, e.survivals[b].at) })
+		e.dropped = e.survivals[oldest].at
 		delete(e.survivals, oldest)
 	}
 }
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -440,3 +440,29 @@
 		t.Errorf("%d entries, %d suspects, %d observed ends", len(c.register.List()), len(c.evidence.Suspects()), len(e.observer.ends))
 	}
 }
+
+// TestFullEvidenceIsStable guards against control hosts that exchange the same survivals again and again, as
+// each that had no room takes the place of another.
+func TestFullEvidenceIsStable(t *testing.T) {
+	f := newFleet(1, 1, 1)
+	e := f.controls[0].evidence
+	report := func() {
+		m := &schema.Findings{}
+		for i := range 2 * maxSurvivals {
+			m.Survivals = append(m.Survivals, &schema.Survival{Part: uint64(i), Age: 10 + float64(i)})
+		}
+		e.Store(m)
+	}
+	report()
+	_, revision := e.Since(0)
+	for range 3 {
+		report()
+	}
+	if _, got := e.Since(revision); got != revision {
+		t.Errorf("revision %d after the same reports, want %d", got, revision)
+	}
+	e.Store(&schema.Findings{Survivals: []*schema.Survival{{Part: 1 << 40}}})
+	if changes, _ := e.Since(revision); len(changes.Survivals) != 1 {
+		t.Errorf("%d survivals after a new one, want it alone", len(changes.Survivals))
+	}
+}
