--- a/review/standin-3/standins.go
+++ b/review/standin-3/standins.go
@@ -261,3 +261,19 @@
 	defer c.mu.Unlock()
 	return fmt.Sprint(c.n)
 }
+
+func (c *counts) total() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.n {
+		n += x
+	}
+	return n
+}
+
+func (c *counts) share(what string) float64 {
+	n := c.total()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.n[what]) / float64(max(1, n))
+}
--- a/review/standin-3/unmarked.go
+++ b/review/standin-3/unmarked.go
@@ -74,6 +74,7 @@
 					mu.Lock()
 					gave, ran := runs[id]
 					mu.Unlock()
+					rec.line("client: booking %s at %s: %d; the server that ran it gave %d", id, front.name, status, gave)
 					if ran && (status == 503 || status == 429 || status == 408 || status == 421) {
 						mu.Lock()
 						refused++
