--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -82,11 +82,22 @@
 	phase.Store(2)
 	rec.line("configApplyMs after the ack")
 	time.Sleep(8 * time.Second)
+	for _, front := range f.fronts {
+		status, _, err := call(ctx, http.MethodGet, "http://"+f.addr(front.ip, offsetReadiness)+"/readyz", "", time.Second)
+		rec.line("/readyz at %s: status %d, %v", front.name, status, err)
+	}
 	cancel()
 	clients.Wait()
 	ofFirst, ofAdded := first.share("200"), added.share("200")
 	rec.line("answers by status over the whole play: first routes %v, the added route %v", &first, &added)
 	rec.line("served: %.3f of the requests on the first routes, %.3f of those on the added one", ofFirst, ofAdded)
+	// Not judged: whether a later manifest mends it.
+	m.Version, m.Limits = 5, limits()
+	if _, ok := o.order("/Config.Put", m.text(), 8*time.Second, f.cores...); ok {
+		time.Sleep(4 * time.Second)
+		status, _, problem := newClient("key-of-the-parish").send(context.Background(), http.MethodGet, f.addr(f.fronts[0].ip, offsetFront), "/tour/x", newID(), "", 4*time.Second)
+		rec.line("after a manifest with maxBodyBytes as it was: status %s %.80s", statusName(status), problem)
+	}
 	if added.total() < 20 {
 		return false, errNotReady
 	}
