--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,7 +14,7 @@
 var errNotReady = errors.New("the system did not get ready")
 
 var cases = map[string]func(*record, bool) (bool, error){
-	"splice": splice, "unmarked": unmarked, "versions": versions, "limit": limit,
+	"splice": splice, "unmarked": unmarked, "versions": versions, "limit": limit, "unframed": unframed,
 }
 
 func statusName(status int) string {
