Keep every number of a configuration in a range that can be computed with

One with 4194304.0, 1e19 or 1e400 in place of a whole number was refused, although only a closed list makes a configuration invalid.

Cause: numbers went from the JSON text to the code that uses them with no step between that knows what it can compute with. The limit of bodies plus 1 became the smallest negative number, and making a buffer of that size panicked. encoding/json refuses what does not fit the Go type of a field. Ruled out: a panic elsewhere (one stack in all logs), a configuration that is not taken over (it is logged as in force), and the neighbouring value, which served all requests.

A number beyond the range bounds nothing that the bound does not.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -54,10 +54,10 @@
 func (s *Snapshot) Evacuated(domain string) bool { return s.items["evacuation/"+domain] != nil }
 
 // Pool returns a pool by name, or nil.
-func (s *Snapshot) Pool(name string) *schema.Pool { return s.items["pool/"+name].GetPool() }
+func (s *Snapshot) Pool(name string) *schema.Pool { return s.Item("pool/" + name).GetPool() }
 
 // Route returns a route by name, or nil.
-func (s *Snapshot) Route(name string) *schema.Route { return s.items["route/"+name].GetRoute() }
+func (s *Snapshot) Route(name string) *schema.Route { return s.Item("route/" + name).GetRoute() }
 
 // Bounds returns the bounds on callers' requests, or nil if there are none.
-func (s *Snapshot) Bounds() *schema.Bounds { return s.items["bounds/callers"].GetBounds() }
+func (s *Snapshot) Bounds() *schema.Bounds { return s.Item("bounds/callers").GetBounds() }
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -28,16 +28,23 @@
 type Snapshot struct {
 	Version uint64
 	// Hash is the running SHA-256 over every delta up to Version, in order.
-	Hash  []byte
-	items map[string]*schema.Item
+	Hash []byte
+	// items are as they were stated: hosts of all versions hash and compare the same ones. clamped holds those
+	// that InRange changes.
+	items, clamped map[string]*schema.Item
 }
 
-// Item returns the item at path, or nil if there is none.
-func (s *Snapshot) Item(path string) *schema.Item { return s.items[path] }
+// Item returns the item at path with numbers in range, or nil if there is none.
+func (s *Snapshot) Item(path string) *schema.Item {
+	if it := s.clamped[path]; it != nil {
+		return it
+	}
+	return s.items[path]
+}
 
 // Customer returns a customer by name, or nil.
 func (s *Snapshot) Customer(name string) *schema.Customer {
-	return s.items["customer/"+name].GetCustomer()
+	return s.Item("customer/" + name).GetCustomer()
 }
 
 // Key returns a customer's key, or nil, by its hash as authenticator.Hash or, for a key chosen
@@ -71,7 +78,7 @@
 	return hosts
 }
 
-// Items returns every item, sorted by path.
+// Items returns every item as it was stated, sorted by path.
 func (s *Snapshot) Items() []*schema.Item {
 	items := make([]*schema.Item, 0, len(s.items))
 	for _, p := range slices.Sorted(maps.Keys(s.items)) {
@@ -88,9 +95,9 @@
 // FromMessage returns the snapshot of a protobuf message, whose items it shares. Nil gives
 // an empty snapshot of version 0.
 func FromMessage(m *schema.Snapshot) *Snapshot {
-	s := &Snapshot{Version: m.GetVersion(), Hash: m.GetHash(), items: map[string]*schema.Item{}}
+	s := &Snapshot{Version: m.GetVersion(), Hash: m.GetHash(), items: map[string]*schema.Item{}, clamped: map[string]*schema.Item{}}
 	for _, it := range m.GetItems() {
-		s.items[it.Path] = it
+		s.put(it)
 	}
 	return s
 }
@@ -101,26 +108,36 @@
 	if d.Version != s.Version+1 || !bytes.Equal(nextHash(s.Hash, d.Version, d.Items), d.Hash) {
 		return nil, fmt.Errorf("%w: delta of version %d, snapshot of version %d", ErrDeltaMismatch, d.Version, s.Version)
 	}
-	next := &Snapshot{Version: d.Version, Hash: d.Hash, items: maps.Clone(s.items)}
+	next := s.next(d.Version, d.Hash)
 	for _, it := range d.Items {
 		if it.Removed {
-			delete(next.items, it.Path)
+			next.remove(it.Path)
 			continue
 		}
 		if err := checkItem(it); err != nil {
 			return nil, err
 		}
-		next.items[it.Path] = it
+		next.put(it)
 	}
 	return next, nil
 }
 
+// next returns a copy of a snapshot for the next version, to be changed.
+func (s *Snapshot) next(version uint64, hash []byte) *Snapshot {
+	return &Snapshot{Version: version, Hash: hash, items: maps.Clone(s.items), clamped: maps.Clone(s.clamped)}
+}
+
+func (s *Snapshot) remove(path string) {
+	delete(s.items, path)
+	delete(s.clamped, path)
+}
+
 func (s *Snapshot) put(it *schema.Item) {
-	if it.Removed {
-		delete(s.items, it.Path)
-		return
-	}
 	s.items[it.Path] = it
+	delete(s.clamped, it.Path)
+	if clamped := InRange(it); clamped != it {
+		s.clamped[it.Path] = clamped
+	}
 }
 
 // nextHash returns the running hash after a delta of items, given the one before it.
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -184,13 +183,13 @@
 			sheet.Version = version
 		}
 	}
-	next := &Snapshot{
-		Version: version,
-		Hash:    nextHash(s.snapshot.Hash, version, items),
-		items:   maps.Clone(s.snapshot.items),
-	}
+	next := s.snapshot.next(version, nextHash(s.snapshot.Hash, version, items))
 	for _, it := range items {
-		next.put(it)
+		if it.Removed {
+			next.remove(it.Path)
+		} else {
+			next.put(it)
+		}
 	}
 	s.snapshot = next
 	s.recordChange(c, version, items)
