Do not wait for tokens beyond a request's deadline

Seen by callers: no answer, or a refusal long after the route's timeout, while the customer is over its rate and the route's latency objective is longer than its timeout.

Cause: the longest wait for tokens is a part of the objective, and charging has no deadline of its own, as objectives were taken to be shorter than timeouts.

Change: the wait ends at the request's deadline; what cannot be had by then is refused at once, with the time when it can.

Evidence: TestOverRateUnderLargestObjective failed before, a request with 2 s to its deadline took 60 s; it passes now.

--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -28,7 +28,7 @@
 	}
 	tokens := r.tokens()
 	_, err := f.Bucket.Take(r.customer.Name, tokens)
-	waitUntil := f.Timer.Now() + r.tokenWait()
+	waitUntil := min(f.Timer.Now()+r.tokenWait(), r.answerUntil) // an objective may be longer than the timeout
 	for err != nil {
 		var over *allocator.OverRateError
 		if !errors.As(err, &over) {
