Charge and place requests by token counts of any size

A host of an earlier build relays the numbers as its caller stated them, and statuses of its replies go to net/http as they come, which panics for those out of range.

A reply of a relay with a status that cannot be sent counts as a failed relay.

--- a/internal/forwarder/charge.go
+++ b/internal/forwarder/charge.go
@@ -49,7 +49,7 @@
 // tokens returns the number of tokens that the request's customer is charged.
 func (r *Request) tokens() float64 {
 	if r.TokensStated {
-		return float64(r.InputTokens + r.MaxOutputTokens)
+		return r.StatedTokens
 	}
 	return r.customer.Plain
 }
--- a/internal/forwarder/explain.go
+++ b/internal/forwarder/explain.go
@@ -18,6 +18,7 @@
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
 	"github.com/trefoilloft/trefoilloft/internal/assigner"
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/estimator"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -182,8 +183,9 @@
 	now := f.Timer.Now()
 	r := &Request{
 		Host: m.Name, Path: m.Path, Method: http.MethodPost, Header: http.Header{}, Model: m.Model,
-		InputTokens: m.Input, MaxOutputTokens: m.Output, TokensStated: m.Stated, HintTokens: m.Hint, ArrivedAt: now,
+		HintTokens: clamper.Tokens(m.Hint), ArrivedAt: now,
 	}
+	r.SetTokens(m.Input, m.Output, m.Stated)
 	for _, p := range m.Parts {
 		r.Parts = append(r.Parts, scheduler.PromptPart{ID: p.Id, Tokens: p.Tokens})
 	}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/trefoilloft/trefoilloft/internal/apportioner"
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/dialer"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -293,17 +294,23 @@
 // cause: what was received is not the whole response.
 var errReplyLost = errors.New("forwarder: a reply of the other region is missing")
 
-// replySequence detects lost replies of one relay.
+// errReplyInvalid means that a reply of a relay has no valid status.
+var errReplyInvalid = errors.New("forwarder: a reply of the other region has no valid status")
+
+// replySequence detects lost and invalid replies of one relay.
 type replySequence struct{ last uint64 }
 
 // check returns errReplyLost if a reply does not follow the last one, or if it continues a response
-// whose head was not received. Hosts of earlier versions do not number their replies.
+// whose head was not received, and errReplyInvalid if its status cannot be sent. Hosts of earlier versions do not number their replies.
 func (s *replySequence) check(reply *schema.RelayReply, headSent bool) error {
 	numbered := reply.Number != 0 || s.last != 0
 	if numbered && reply.Number != s.last+1 {
 		return fmt.Errorf("%w: number %d follows %d", errReplyLost, reply.Number, s.last)
 	}
 	s.last = reply.Number
+	if reply.Status != 0 && (reply.Status < http.StatusOK || reply.Status > maxStatus) {
+		return fmt.Errorf("%w: status %d", errReplyInvalid, reply.Status)
+	}
 	if beginsResponse := reply.Status != 0; beginsResponse == headSent && (beginsResponse || len(reply.Chunk) > 0 || reply.Complete) {
 		return fmt.Errorf("%w: head received %v, status %d", errReplyLost, headSent, reply.Status)
 	}
@@ -311,15 +318,28 @@
 }
 
 func (f *Forwarder) relayedFailure(r *Request, x *schema.Failure, headSent bool) error {
-	r.attempts += int(x.Sent)
-	r.reached += int(x.Arrived)
+	r.attempts += sentCount(x.Sent)
+	r.reached += sentCount(x.Arrived)
 	r.mayHaveRun = r.mayHaveRun || headSent || !x.Notrun
 	if headSent {
 		return errors.Join(errTruncated, errRelayFailed)
 	}
-	return refuse(int(x.Status), x.Cause, seconds(x.Retry))
+	status := int(x.Status)
+	if status < http.StatusBadRequest || status > maxStatus {
+		status = http.StatusBadGateway
+	}
+	return refuse(status, x.Cause, max(0, seconds(x.Retry)))
 }
 
+// maxStatus is the largest HTTP status.
+const maxStatus = 599
+
+// sentCount converts a number of upstreams that another host states.
+func sentCount(n int32) int { return int(max(0, min(n, maxSentCount))) }
+
+// maxSentCount is far above the attempts of any route, so that sums of counts stay in range.
+const maxSentCount = 1 << 20
+
 func headerOf(list []*schema.Header) http.Header {
 	h := http.Header{}
 	for _, x := range list {
@@ -378,9 +398,11 @@
 	now := f.Timer.Now()
 	r := &Request{
 		ID: m.Id, Host: m.Route, Method: m.Method, Path: m.Path, Header: headerOf(m.Headers), Body: m.Body,
-		Model: m.Model, InputTokens: m.Input, MaxOutputTokens: m.Output, HintTokens: m.Hint, ArrivedAt: now - seconds(m.Age),
-		DeadlineAt: now + seconds(m.Left), relayed: true, attempts: int(m.Sent), sentBefore: int(m.Sent), lastResort: m.Leaving, priority: int(m.Priority), pool: m.Pool,
+		Model: m.Model, HintTokens: clamper.Tokens(m.Hint),
+		ArrivedAt: now - max(0, seconds(m.Age)), DeadlineAt: now + seconds(m.Left), relayed: true, attempts: sentCount(m.Sent), sentBefore: sentCount(m.Sent),
+		lastResort: m.Leaving, priority: max(0, int(m.Priority)), pool: m.Pool,
 	}
+	r.SetTokens(m.Input, m.Output, false) // the relaying host has charged them
 	if m.Resume != nil {
 		r.LastEventID, r.Resumes, r.software = m.Resume.After, m.Resume.Request, &m.Resume.Software
 	}
@@ -391,7 +413,7 @@
 		r.avoid[l.Upstream] = l.Incarnation
 	}
 	for _, p := range m.Parts {
-		r.Parts = append(r.Parts, scheduler.PromptPart{ID: p.Id, Tokens: p.Tokens})
+		r.Parts = append(r.Parts, scheduler.PromptPart{ID: p.Id, Tokens: clamper.Tokens(p.Tokens)})
 	}
 	x := f.index.Load()
 	if x == nil {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/quarantiner"
 	"github.com/trefoilloft/trefoilloft/internal/scheduler"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -22,10 +23,12 @@
 	// Key is the caller's API key; empty if it sent none.
 	Key string
 	// Model and Parts describe the prompt. InputTokens is its number of tokens, MaxOutputTokens
-	// the maximum number in the response. TokensStated says that the caller stated both.
+	// the maximum number in the response, each at most clamper.MaxTokens. TokensStated says that
+	// the caller stated both, StatedTokens is their sum without that bound. SetTokens sets them.
 	Model                        string
 	Parts                        []scheduler.PromptPart
 	InputTokens, MaxOutputTokens int64
+	StatedTokens                 float64
 	TokensStated                 bool
 	// HintTokens is the caller's estimate of the response's tokens; 0 if it gave none.
 	HintTokens int64
@@ -68,6 +71,13 @@
 	originUnknown bool              // another process than that of software may have begun the stream
 }
 
+// SetTokens sets the tokens of the prompt and the maximum of the response from numbers of any size, if the
+// caller stated both.
+func (r *Request) SetTokens(input, output int64, stated bool) {
+	r.InputTokens, r.MaxOutputTokens = clamper.Tokens(input), clamper.Tokens(output)
+	r.StatedTokens, r.TokensStated = float64(max(0, input))+float64(max(0, output)), stated
+}
+
 // Customer returns the name of the customer that sent the request; empty on a route that
 // needs no key.
 func (r *Request) Customer() string { return r.customer.GetName() }
