Bring numbers of upstreams' answers and of the older interface's callers in range

Seen: on the older interface a time limit beyond 292 years ended the request at once, one beyond 64 bits was refused, and an answer that states a number of tokens below 0 gave these to the customer. A Keep-Alive timeout of the same size made connections to an upstream that were never used again.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/closer"
 	"github.com/trefoilloft/trefoilloft/internal/confiner"
 	"github.com/trefoilloft/trefoilloft/internal/prober"
@@ -446,11 +446,11 @@
 func keepAlive(header string) time.Duration {
 	for _, parameter := range strings.Split(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
-		seconds, err := strconv.Atoi(value)
+		seconds, err := clamper.Parse(value)
 		if !strings.EqualFold(name, "timeout") || err != nil {
 			continue
 		}
-		return min(maxIdleTimeout, time.Duration(seconds)*time.Second-idleTimeoutMargin)
+		return min(maxIdleTimeout, timer.Seconds(seconds)-idleTimeoutMargin)
 	}
 	return maxIdleTimeout
 }
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -235,6 +235,7 @@
 	for header, want := range map[string]time.Duration{
 		"": maxIdleTimeout, "timeout=5": 4500 * time.Millisecond, "timeout=2, max=9": 1500 * time.Millisecond,
 		"max=9": maxIdleTimeout, "timeout=600": maxIdleTimeout, "timeout=x": maxIdleTimeout,
+		"timeout=9300000000": maxIdleTimeout, "timeout=99999999999999999999": maxIdleTimeout, // more than a time.Duration holds
 	} {
 		if got := keepAlive(header); got != want {
 			t.Errorf("%q: got %v, want %v", header, got, want)
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/trefoilloft/trefoilloft/internal/bufferer"
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/requester"
 	"github.com/trefoilloft/trefoilloft/internal/router"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
@@ -382,7 +383,7 @@
 		}
 		ended = ended || chunk.isLast()
 		if chunk.Usage != nil {
-			c.usedTokens = chunk.Usage.Total
+			c.usedTokens = clamper.Tokens(chunk.Usage.Total)
 			if !c.wantsUsage && len(chunk.Choices) == 0 {
 				continue
 			}
@@ -432,7 +433,7 @@
 		return errNoCompletion
 	}
 	if chunk.Usage != nil {
-		c.usedTokens = chunk.Usage.Total
+		c.usedTokens = clamper.Tokens(chunk.Usage.Total)
 	}
 	c.firstTokenAt = s.Timer.Now()
 	if err := out.writeBody(b); err != nil {
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -120,10 +120,10 @@
 	timeout := maxRequestTimeout
 	if v := r.Header.Get(deadlineHeader); v != "" {
 		ms, err := strconv.Atoi(v)
-		if err != nil || ms <= 0 {
+		if err != nil && !errors.Is(err, strconv.ErrRange) || ms <= 0 {
 			return nil, nil, newRefusal(http.StatusBadRequest, "bad_deadline", deadlineHeader+" is not a number of milliseconds above 0")
 		}
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+		timeout = min(timeout, time.Duration(min(int64(ms), maxRequestTimeout.Milliseconds()))*time.Millisecond)
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout + writeDeadlineMargin)) // on failure, a caller that does not read keeps its slot
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/router"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 )
@@ -242,7 +243,7 @@
 		if err != nil {
 			return fmt.Errorf("server: read the answer of the other region: %w", err)
 		}
-		c.usedTokens = max(c.usedTokens, reply.Tokens)
+		c.usedTokens = max(c.usedTokens, clamper.Tokens(reply.Tokens))
 		switch {
 		case reply.Status != 0 && reply.Status != http.StatusOK:
 			return refusalFromReply(reply)
