Do not pass on a status that is a promise unless the upstream has made it

Cause: an upstream's response is passed on with its status, whatever it is. With 408, 429 and 503 that is true only if the response states that the upstream has not run the request. The code that corrects the refusals of the host itself after an attempt that may have run (finalRefusal) does not see responses. Ruled out: refusals of the host (all wrong answers bear the upstream's signature), and a wrong classification: the response is one to the request, and the attempt counts as one that may have run.

Change: truthfulSink stands before each caller, and before the relaying host where a request is relayed; every response passes it, whole or stream, short or long, kept from an earlier attempt or relayed. In place of one with such a status the caller gets 502 without the upstream's headers, body and signature, since 502 promises nothing and the signature may not stand beside another status. This holds for all routes: idempotent requests may be sent again anyway, but the status would be as untrue. The verdict, the outcome, pauses, limits and retries are as before. The rest of a long response is not read, so that the caller has its refusal at once. A host of an earlier build that relays such a response is corrected by the host that has the caller; one that relays to a host of this build gets a failure that it knows.

Evidence: TestStatusesThatUpstreamsDoNotProve, TestPromiseAfterAnotherAttempt and TestUnprovenStatusEndsLongResponse failed on the code before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -338,7 +338,7 @@
 	if err := sink.SendChunk(b); err != nil {
 		return errors.Join(errCallerDisconnected, err)
 	}
-	if large {
+	if large && !isPromise(call.Response.StatusCode) { // the caller gets nothing of such a response
 		if err := copyRest(sink, call); err != nil {
 			return err
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -163,6 +163,7 @@
 		defer spooled.Close()
 		sink = spooled
 	}
+	sink = &truthfulSink{Sink: sink, trace: t}
 	f.recordDemand(r)
 	defer f.recordDuration(r, f.Timer.Now())
 	ctx, cancel := f.withDeadline(ctx, r.answerUntil)
--- a/internal/forwarder/leaving.go
+++ b/internal/forwarder/leaving.go
@@ -71,6 +71,9 @@
 	if verdict == Misdirected || verdict == Invalid || !f.Protocol.Leaving(h) {
 		return
 	}
+	if s, wraps := sink.(*truthfulSink); wraps {
+		sink = s.Sink
+	}
 	if s, relayed := sink.(*relaySink); relayed {
 		s.leaver = &schema.Leaver{Upstream: reservation.Name, Incarnation: reservation.Incarnation}
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -49,6 +49,7 @@
 	causeTimeout            = "the time limit passed"
 	causeLost               = "the upstream's answer was lost"
 	causeRejected           = "the upstream turned the request away"
+	causeUnproven           = "the upstream's answer does not state whether the request ran"
 	causeRelay              = "another region's host failed"
 	causeUnreachable        = "the upstream cannot be reached"
 	causeStopping           = "the host is stopping"
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -277,6 +277,9 @@
 			headSent = true
 			r.reached++
 			sink.SendHead(int(reply.Status), headerOf(reply.Headers), reply.Length)
+			if isPromise(int(reply.Status)) { // by a host of an earlier build; the caller gets nothing of the response
+				return nil
+			}
 		}
 		if len(reply.Chunk) > 0 {
 			if err := sink.SendChunk(reply.Chunk); err != nil {
@@ -359,21 +362,22 @@
 // probe, which only gets an acknowledgement that names this host.
 func (s *RelayService) Relay(m *schema.RelayRequest, stream grpc.ServerStreamingServer[schema.RelayReply]) error {
 	f := s.Forwarder
-	sink := &relaySink{stream: stream}
+	relayed := &relaySink{stream: stream}
 	if m.Id == "" {
 		if err := dialer.SendPeer(stream, dialer.Peer{Host: f.Host, Region: f.Region}); err != nil {
 			return err
 		}
 	}
 	// Acknowledge at once, which shows the sender that this region is reachable.
-	if err := sink.send(&schema.RelayReply{}); err != nil || m.Id == "" {
+	if err := relayed.send(&schema.RelayReply{}); err != nil || m.Id == "" {
 		return err
 	}
 	f.inflight.Add(1)
 	defer f.inflight.Add(-1)
 	r, err := f.requestOf(m)
-	sink.request = r
+	relayed.request = r
 	t := &trace{f: f, r: r}
+	sink := &truthfulSink{Sink: relayed, trace: t}
 	if err != nil {
 		t.refuse(sink, refusalOf(err))
 		return nil
@@ -497,9 +501,8 @@
 
 // Refuse sends the refusal, and whether the request certainly did not run.
 func (s *relaySink) Refuse(f *Refusal) {
-	notRun := f.Status == http.StatusServiceUnavailable || f.Status == http.StatusTooManyRequests
 	failure := &schema.Failure{
-		Status: int32(f.Status), Cause: f.Cause, Retry: f.RetryAfter.Seconds(), Notrun: notRun,
+		Status: int32(f.Status), Cause: f.Cause, Retry: f.RetryAfter.Seconds(), Notrun: isPromise(f.Status),
 		Sent: int32(s.request.attempts - s.request.sentBefore), Arrived: int32(s.request.reached),
 	}
 	_ = s.send(&schema.RelayReply{Failure: failure}) // a relaying host that does not get it sees the stream end
