Do not offer a host to callers while it fails every request by its own fault

Only the counter of panics and one log line a request told of it.

Cause: readiness knows of the age of the configuration and of a stop, not of what becomes of requests.

Change: once 5 requests in a row have panicked, and until 5 s after the last one or until one ends without a panic, the host is not ready: it answers /readyz with 503, tells the other hosts so, and is in no list. It goes on to serve callers that come all the same, which show when the fault has gone. A log line at both ends and trefoil_entry_failing tell of it. Refusals, failed upstreams and failed relays do not count. A single request must not take a host away, hence the number in a row; if all hosts fail, the lists are empty, as callers get nothing from any of them.

--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -86,6 +86,7 @@
 	dialer      *dialer.Dialer
 	incarnation uint64 // start time of the process, Unix nanoseconds
 	stopping    atomic.Bool
+	failures    failureWatch
 	evacuated   map[string]bool // used by applyConfig only
 }
 
@@ -236,7 +237,7 @@
 
 // Collectors returns the process's metrics, to be added to a registry.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.prober.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.capacities.unusable, e.capacities.lengths, e.fractions.gauge, e.estimates})
+	return slices.Concat(e.Forwarder.Metrics.Collectors(), e.prober.Metrics.Collectors(), e.Forwarder.SpoolCollectors(), BufferCollectors("responses", e.Forwarder.Buffers), BufferCollectors("requests", e.Requests), e.gateCollectors(), shareCollectors(e.bucket), []prometheus.Collector{forwarder.QueueCollector{Scheduler: e.scheduler}, e.unusable.counter, e.lists.counter, e.capacities.unusable, e.capacities.lengths, e.fractions.gauge, e.estimates, e.failingCollector()})
 }
 
 // Stopping reports whether the process is shutting down.
@@ -245,7 +246,7 @@
 // Ready reports whether callers should be sent to this host.
 func (e *Entry) Ready() bool {
 	age, confirmed := e.refresher.ConfirmationAge()
-	return !e.stopping.Load() && confirmed && age < maxReadyConfirmationAge && e.distributor.Current().DocumentNumber() > 0
+	return !e.stopping.Load() && !e.Failing() && confirmed && age < maxReadyConfirmationAge && e.distributor.Current().DocumentNumber() > 0
 }
 
 // Resolve returns the addresses that callers of a region and failure domain should use for requests to the
