Keep rates and bursts below what hosts take for errors of each other

Cause: a limit of a customer beyond 1e12 tokens, which configurations may state, made shares and demands that other hosts drop as errors (maxFigure of internal/allocator), so that such a customer got less than a small one.

Change: rates, bursts and charges are at most 1e11, below which sums stay under the bound that builds which have landed check too; demands are reported up to the same.

--- a/internal/allocator/bucket.go
+++ b/internal/allocator/bucket.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -413,9 +414,9 @@
 			delete(b.customers, name)
 			continue
 		}
-		d := &schema.Demand{Customer: name, Rate: a.demandRate}
+		d := &schema.Demand{Customer: name, Rate: min(a.demandRate, clamper.MaxAmount)}
 		if adaptive {
-			d.Size = a.typicalSize()
+			d.Size = min(a.typicalSize(), clamper.MaxAmount)
 		}
 		demands = append(demands, d)
 	}
--- a/internal/allocator/granter.go
+++ b/internal/allocator/granter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilloft/trefoilloft/internal/clamper"
 	"github.com/trefoilloft/trefoilloft/internal/schema"
 	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
@@ -481,9 +482,9 @@
 			d = &schema.Demand{Customer: name}
 			p.Demands = append(p.Demands, d)
 		}
-		d.Rate = math.Max(d.Rate, rate)
+		d.Rate = min(math.Max(d.Rate, rate), clamper.MaxAmount)
 		if rate > 0 {
-			d.Size = sizes / rate
+			d.Size = min(sizes/rate, clamper.MaxAmount)
 		}
 	}
 	if adaptive {
--- a/internal/clamper/clamper.go
+++ b/internal/clamper/clamper.go
@@ -15,8 +15,9 @@
 // memory of an engine are computed from them.
 const MaxTokens = 1 << 30
 
-// MaxFloat bounds rates, bursts and sums of tokens. Float64 holds all integers up to it exactly.
-const MaxFloat = 1e15
+// MaxAmount bounds rates, bursts and sums of tokens. Sums of several stay below 1e12, above which hosts of all builds
+// take a figure of another host for an error.
+const MaxAmount = 1e11
 
 // minPositive replaces smaller numbers above 0, so that their reciprocals stay far below the largest float64.
 const minPositive = 1e-9
--- a/internal/clamper/clamper_test.go
+++ b/internal/clamper/clamper_test.go
@@ -24,8 +24,8 @@
 
 // TestAmount guards against amounts that become infinite or 0 in a quotient.
 func TestAmount(t *testing.T) {
-	for x, want := range map[float64]float64{-1: 0, 0: 0, 5e-324: minPositive, 2.5: 2.5, 1e308: MaxFloat, math.Inf(1): MaxFloat} {
-		if got := Amount(x, MaxFloat); got != want {
+	for x, want := range map[float64]float64{-1: 0, 0: 0, 5e-324: minPositive, 2.5: 2.5, 1e308: MaxAmount, math.Inf(1): MaxAmount} {
+		if got := Amount(x, MaxAmount); got != want {
 			t.Errorf("%v: got %v, want %v", x, got, want)
 		}
 	}
@@ -66,7 +66,7 @@
 		if diff := cmp.Diff(Tokens(n), n); diff != "" {
 			t.Errorf("%q: -want +got\n%s", s, diff)
 		}
-		if a := Amount(x, MaxFloat); a < 0 || a > MaxFloat || x > 0 != (a > 0) || a > 0 && math.IsInf(MaxFloat/a, 0) {
+		if a := Amount(x, MaxAmount); a < 0 || a > MaxAmount || x > 0 != (a > 0) || a > 0 && math.IsInf(MaxAmount/a, 0) {
 			t.Errorf("%q: amount %v", s, a)
 		}
 	})
--- a/internal/configurer/range.go
+++ b/internal/configurer/range.go
@@ -71,7 +71,7 @@
 		c.customer(x.Customer)
 	case *schema.Item_Model:
 		c.count(&x.Model.Replicas, maxSlots)
-		c.amount(&x.Model.Price, clamper.MaxFloat)
+		c.amount(&x.Model.Price, clamper.MaxAmount)
 	case *schema.Item_Bounds:
 		c.size(&x.Bounds.Header, MaxBodyBytes)
 		c.size(&x.Bounds.Body, MaxBodyBytes)
@@ -102,18 +102,18 @@
 		}
 	}
 	unit := 1.0
-	if largest != clamper.Amount(largest, clamper.MaxFloat) {
+	if largest != clamper.Amount(largest, clamper.MaxAmount) {
 		unit = largest
 	}
 	for _, t := range targets {
-		set(c, &t.Weight, clamper.Amount(min(t.Weight, math.MaxFloat64)/unit, clamper.MaxFloat))
+		set(c, &t.Weight, clamper.Amount(min(t.Weight, math.MaxFloat64)/unit, clamper.MaxAmount))
 	}
 }
 
 func (c *clamping) pool(p *schema.Pool) {
 	c.count(&p.Connections, maxConnections)
 	c.seconds(&p.Warmup)
-	c.amount(&p.Coldrate, clamper.MaxFloat)
+	c.amount(&p.Coldrate, clamper.MaxAmount)
 	if e := p.Engine; e != nil {
 		c.count(&e.Slots, maxSlots)
 		c.size(&e.Tokens, maxMemory)
@@ -122,9 +122,9 @@
 }
 
 func (c *clamping) customer(x *schema.Customer) {
-	c.amount(&x.Rate, clamper.MaxFloat)
-	c.amount(&x.Burst, clamper.MaxFloat)
-	c.amount(&x.Plain, clamper.MaxFloat)
+	c.amount(&x.Rate, clamper.MaxAmount)
+	c.amount(&x.Burst, clamper.MaxAmount)
+	c.amount(&x.Plain, clamper.MaxAmount)
 	if x.Weight > 0 && x.Weight < minWeight {
 		set(c, &x.Weight, minWeight)
 	} else {
--- a/internal/configurer/range_test.go
+++ b/internal/configurer/range_test.go
@@ -87,7 +87,7 @@
 	for _, f := range numberFields(it.ProtoReflect()) {
 		switch v := f.get().Interface().(type) {
 		case float64:
-			if !(math.Abs(v) <= clamper.MaxFloat) || v != 0 && math.IsInf(clamper.MaxFloat/v, 0) || v < 0 && f.name != "trefoil.Route.timeout" {
+			if !(math.Abs(v) <= clamper.MaxAmount) || v != 0 && math.IsInf(clamper.MaxAmount/v, 0) || v < 0 && f.name != "trefoil.Route.timeout" {
 				t.Errorf("%s: %s is %v", name, f.name, v)
 			}
 		case int32:
