Report leads that are longer than a time.Duration holds

Evidence: TestLeadOutOfRange finds the customer without its lead on the code before, and passes now.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -245,7 +245,7 @@
 	lead := q.queue.Lead(u, now)
 	o := Forecast{
 		Free: part * float64(free), Rate: max(rate, least), Part: part, Ahead: float64(ahead), Promised: q.forecast.Pending(),
-		Limit: s.waitLimit(w), Lead: time.Duration(float64(lead) * float64(time.Second)), LoadAge: now - s.loadsAt,
+		Limit: s.waitLimit(w), Lead: timer.Seconds(float64(lead)), LoadAge: now - s.loadsAt,
 	}
 	if full {
 		o.Free = 0
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/trefoilloft/trefoilloft/internal/timer"
 )
 
 const (
@@ -424,7 +426,7 @@
 	var all []Standing
 	for x := q.recent.Front(); x != nil; x = x.Next() {
 		c := x.Value.(*customer)
-		lead := time.Duration(float64(q.lead(c, now)) * float64(time.Second))
+		lead := timer.Seconds(float64(q.lead(c, now)))
 		if lead > 0 || c.waiting > 0 {
 			all = append(all, Standing{Customer: c.name, Rank: c.rank, Lead: lead, Waiting: c.waiting})
 		}
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -190,3 +190,16 @@
 		t.Errorf("lead %v after refusals only, want 0", lead)
 	}
 }
+
+// TestLeadOutOfRange guards against the lead of a customer of the smallest weight that is reported as below 0, as it is
+// longer than a time.Duration holds.
+func TestLeadOutOfRange(t *testing.T) {
+	q := Queue[int]{}
+	u := use("light", 0, 10_000*time.Hour)
+	u.Weight = 1e-6
+	q.Push(use("other", 0, time.Second), 1, time.Hour)
+	q.Serve(u, time.Hour)
+	if all := q.Largest(1, time.Hour); len(all) != 1 || all[0].Customer != u.Customer || all[0].Lead <= 0 {
+		t.Errorf("got %v, want the customer with its lead", all)
+	}
+}
