Refuse requests that have no time left before anything is sent

Seen by callers: a request whose caller no longer waits (X-Deadline-Ms of 0 or below), or whose route's timeout is below 0, could reach an upstream, which was told that 1 ms is left; the caller got 504 for a request that may have run.

Cause: an upstream that is free gets a request before the timer of the deadline fires.

Change: below 1 ms, the shortest time that an upstream can be told, a request is refused with 503 before it is charged.

Evidence: TestNoTimeLeft failed before (504, the request had arrived), passes now.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -174,8 +174,15 @@
 	}
 }
 
-// admit charges the request to its customer. It refuses a request that would outlast the process.
+// minTimeLeft is the shortest time that an upstream can be told.
+const minTimeLeft = time.Millisecond
+
+// admit charges the request to its customer. It refuses a request that has no time left, or would outlast the
+// process.
 func (f *Forwarder) admit(ctx context.Context, r *Request, t *trace) error {
+	if r.answerUntil-f.Timer.Now() < minTimeLeft {
+		return refuse(http.StatusServiceUnavailable, causeTimeout, 0)
+	}
 	if err := f.checkStopping(r, t); err != nil {
 		return err
 	}
--- a/internal/forwarder/range_test.go
+++ b/internal/forwarder/range_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilloft/trefoilloft/internal/allocator"
@@ -77,6 +78,30 @@
 	}
 }
 
+// TestNoTimeLeft guards against requests that run though no time is left for them, as their caller no longer waits or
+// their route's timeout is below 0, and against the charge for them.
+func TestNoTimeLeft(t *testing.T) {
+	want := result{Status: 503, Cause: causeTimeout}
+	for name, timeout := range map[string]float64{"route": -5, "caller": 3} {
+		s := newSystem(t, []scriptStep{text(200, "ok")})
+		s.reconfigure(func(it *schema.Item) { setRoute(it, func(r *schema.Route) { r.Timeout = timeout }) })
+		for range 20 {
+			sink, now := &recorderSink{}, s.Timer.Now()
+			r := &Request{ID: "1", Host: "h", Method: "POST", Path: "/keyed/x", Header: http.Header{}, Key: "k", ArrivedAt: now, DeadlineAt: now + time.Hour}
+			if name == "caller" {
+				r.DeadlineAt = now + 1
+			}
+			s.Serve(context.Background(), r, sink)
+			if diff := cmp.Diff(want, sink.result); diff != "" {
+				t.Fatalf("%s: -want +got\n%s", name, diff)
+			}
+		}
+		if all := s.allArrivals(); len(all) > 0 {
+			t.Errorf("%s: arrivals %v", name, all)
+		}
+	}
+}
+
 // TestOverRateUnderLargestObjective guards against requests that wait for tokens beyond their deadline, as the wait
 // is a part of an objective that is longer.
 func TestOverRateUnderLargestObjective(t *testing.T) {
