--- a/internal/starter/home_test.go
+++ b/internal/starter/home_test.go
@@ -25,7 +25,7 @@
 		e.Table.StoreHost(p, "")
 	}
 	route := func(host, prefix string, regions ...string) *schema.Item {
-		r := &schema.Route{Name: host + prefix, Host: host, Prefix: prefix, Regions: regions, Targets: []*schema.Target{{Pool: "p", Weight: 1}}}
+		r := &schema.Route{Name: host + prefix, Host: host, Prefix: prefix, Regions: regions, Timeout: 5, Targets: []*schema.Target{{Pool: "p", Weight: 1}}}
 		return &schema.Item{Path: "route/" + host + prefix, Value: &schema.Item_Route{Route: r}}
 	}
 	if err := e.distributor.Replace(configurer.FromMessage(&schema.Snapshot{Version: 1, Items: []*schema.Item{
